--- /dev/null
+++ b/briarspur/__init__.py
@@ -0,0 +1,5 @@
+"""Global traffic steering for services whose callers wait for the answer."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/briarspur/logs.py
@@ -0,0 +1,73 @@
+"""Logs: one line of key=value pairs for each event."""
+
+import logging
+import sys
+from collections.abc import Mapping
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ["EVENTS", "configure", "event"]
+
+LOGGER = logging.getLogger("briarspur")
+NEEDS_QUOTES = frozenset(' "=\n\r\t\\')
+
+EVENTS: dict[str, str] = {
+    "started": "the daemon listens",
+    "stopping": "a graceful stop began",
+    "stopped": "the daemon has ended what it had in flight",
+    "settings-invalid": "the settings file is not valid",
+    "policy-in-force": "a version of the policy came into force",
+    "policy-rejected": "a version of the policy is not valid and was not taken",
+    "plan-in-force": "a plan came into force",
+    "refused": "a request got a final answer of our own",
+    "failed": "a request ended without a whole answer",
+    "invariant-violated": "a property that must always hold did not hold",
+    "internal-error": "a fault of briarspur",
+}
+"""Every event name with its meaning; ``docs/LOG-EVENTS.md`` lists them."""
+
+
+def key_values(fields: Mapping[str, Any], **_: object) -> str:
+    """Return ``fields`` as one line of key=value pairs, quoted where a value needs it."""
+    return " ".join(f"{key}={_value(value)}" for key, value in fields.items() if value is not None)
+
+
+def _value(value: object) -> str:
+    text = value if isinstance(value, str) else str(value)
+    if text and NEEDS_QUOTES.isdisjoint(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t")
+    return f'"{escaped}"'
+
+
+def configure(level: str = "INFO") -> None:
+    """Send events of ``level`` and above to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = JsonFormatter(
+        "{asctime}{levelname}{message}",
+        style="{",
+        json_serializer=key_values,
+        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+    )
+    formatter.default_msec_format = "%s.%03d"
+    handler.setFormatter(formatter)
+    LOGGER.handlers[:] = [handler]
+    LOGGER.setLevel(level)
+    LOGGER.propagate = False
+
+
+def event(name: str, level: int = logging.INFO, **fields: object) -> None:
+    """Log one event.
+
+    Parameters
+    ----------
+    name : str
+        One of :data:`EVENTS`.
+    level : int
+        A level of :mod:`logging`.
+    **fields : object
+        Pairs to print; those that are None are left out.
+    """
+    LOGGER.log(level, name, extra=fields)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, backend servers and callers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the package."""
--- /dev/null
+++ b/tests/compat/__init__.py
@@ -0,0 +1,1 @@
+"""Tests against the documented protocols of outside systems."""
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,21 @@
+"""Tests of JSON documents and their faults."""
+
+import unittest
+
+from briarspur.documents import parse
+from briarspur.errors import DocumentError
+from briarspur.settings import PlatformSettings
+
+
+class ParseTest(unittest.TestCase):
+    """A document is taken whole or refused with every fault."""
+
+    def test_faults_are_named_by_path(self) -> None:
+        with self.assertRaises(DocumentError) as caught:
+            parse(PlatformSettings, '{"host": "x", "port": 99999, "colour": 1}', "s.json")
+        paths = {fault.path for fault in caught.exception.faults}
+        self.assertEqual(paths, {"host", "port", "colour"})
+
+    def test_broken_json_is_a_fault(self) -> None:
+        with self.assertRaises(DocumentError):
+            parse(PlatformSettings, "{", "s.json")
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer tools: checks, benchmarks, experiments and capacity measurements."""
