--- a/tools/check.py
+++ b/tools/check.py
@@ -8,6 +8,7 @@
 import sys
 from collections import Counter
 from pathlib import Path
+from typing import ClassVar
 
 from nose2.events import Plugin
 from nose2.main import PluggableTestProgram
@@ -32,7 +33,7 @@
     configSection = "outcomes"  # noqa: N815
     alwaysOn = True  # noqa: N815
     known_red: frozenset[str] = frozenset()
-    counts: Counter[str] = Counter()
+    counts: ClassVar[Counter[str]] = Counter()
 
     def setTestOutcome(self, event) -> None:  # type: ignore[no-untyped-def]  # noqa: N802
         """Turn the failure of a known red test into a skip."""
