--- a/briarspur/daemon.py
+++ b/briarspur/daemon.py
@@ -68,7 +68,7 @@
     asyncio.set_event_loop(loop)
     from twisted.internet import asyncioreactor
 
-    asyncioreactor.install(loop)  # type: ignore[no-untyped-call]
+    asyncioreactor.install(loop)
     from twisted.internet import reactor as installed
 
     reactor = cast(asyncioreactor.AsyncioSelectorReactor, installed)
