--- /dev/null
+++ b/tests/coord/test_escrow.py
@@ -0,0 +1,254 @@
+"""Tests of escrow accounts: the sum over members never exceeds the limit."""
+
+import unittest
+from dataclasses import dataclass
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from briarspur.coord.escrow import Account, EscrowSettings, base_shares
+from briarspur.coord.invariants import invariants
+
+LIMIT = 13
+MEMBERS = ["entry-1", "entry-2", "entry-3"]
+TIMES = EscrowSettings(
+    margin=0.5, drift=0.05, longest_use=6.0, longest_loan=4.0, spread=2.0, lendable_share=0.7
+)
+FIXED = settings(
+    derandomize=True, deadline=None, database=None, max_examples=150, stateful_step_count=60
+)
+
+
+class BaseSharesTest(unittest.TestCase):
+    """Shares add up."""
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.integers(0, 5_000), st.integers(1, 60))
+    def test_sum_is_exactly_the_limit(self, limit: int, count: int) -> None:
+        shares = base_shares(limit, [f"entry-{n}" for n in range(count)])
+        self.assertEqual(sum(shares.values()), limit)
+        self.assertLessEqual(max(shares.values()) - min(shares.values()), 1)
+
+
+class AccountTest(unittest.TestCase):
+    """One account, or a giver and a borrower."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+        self.giver = Account("in-flight/north", 6, settings=TIMES)
+        self.borrower = Account("in-flight/north", 1, settings=TIMES)
+
+    def test_lending_subtracts_before_the_reply(self) -> None:
+        self.assertEqual(self.giver.lend("t1", 3, 4.0, now=0.0), 3)
+        self.assertEqual(self.giver.held(0.0), 3)
+        self.assertEqual(self.giver.held(4.6), 3, "the margin has not passed")
+        self.assertEqual(self.giver.held(4.8), 6)
+
+    def test_a_repeated_request_gets_the_same_reply(self) -> None:
+        self.giver.lend("t1", 3, 4.0, now=0.0)
+        self.assertEqual(self.giver.lend("t1", 3, 4.0, now=1.0), 3)
+        self.assertEqual(self.giver.held(1.0), 3)
+
+    def test_a_doubled_reply_adds_once(self) -> None:
+        for _ in range(2):
+            self.borrower.borrowed("t1", 3, asked_at=0.0, lifetime=4.0)
+        self.assertEqual(self.borrower.held(1.0), 4)
+        self.assertEqual(self.borrower.held(4.0), 1)
+
+    def test_work_must_end_with_the_part_it_stands_on(self) -> None:
+        """A region runs more requests than its limit, seconds after a burst.
+
+        An entry borrowed a part, began a long request on it, and the part ended before the request
+        did. The giver took the part back and used it too.
+        """
+        self.borrower.borrowed("t1", 1, asked_at=0.0, lifetime=4.0)
+        self.assertTrue(self.borrower.take(0.0, until=6.0))
+        self.assertFalse(self.borrower.take(0.0, until=5.0))
+        self.assertTrue(self.borrower.take(0.0, until=4.0))
+
+    def test_what_is_in_use_is_not_lent(self) -> None:
+        for _ in range(5):
+            self.giver.take(0.0)
+        self.assertEqual(self.giver.lend("t1", 3, 4.0, now=0.0), 1)
+
+    def test_a_larger_share_waits_and_a_smaller_one_does_not(self) -> None:
+        self.giver.set_base(8, now=0.0)
+        self.giver.set_base(8, now=4.0)
+        self.assertEqual(self.giver.held(8.3), 6)
+        self.assertEqual(self.giver.held(8.5), 8)
+        self.giver.set_base(2, now=9.0)
+        self.assertEqual(self.giver.held(9.0), 2)
+
+    def test_a_fresh_process_holds_back_what_the_last_one_may_have_lent(self) -> None:
+        """A region runs more requests than its limit just after an entry was replaced.
+
+        The old process had lent a part of its share; the new one knows nothing of it.
+        """
+        fresh = Account("in-flight/north", 6, now=100.0, settings=TIMES, fresh=True)
+        self.assertEqual(fresh.held(100.0), 2)
+        self.assertEqual(fresh.held(104.7), 6)
+
+
+@dataclass
+class Message:
+    """A request or a reply that is on its way."""
+
+    sender: str
+    receiver: str
+    transfer_id: str
+    amount: int
+    lifetime: float
+    asked_at: float
+    is_reply: bool = False
+
+
+class EscrowMachine(RuleBasedStateMachine):
+    """Three members, clocks of their own, and messages that are lost, late, doubled, reordered.
+
+    A user sees a region slowed by more requests than it carries. It would come from two members
+    that count the same unit of the limit as theirs.
+    """
+
+    @initialize(rates=st.lists(st.sampled_from([0.98, 1.0, 1.02]), min_size=3, max_size=3))
+    def begin(self, rates: list[float]) -> None:
+        invariants.strict = True
+        self.time = 0.0
+        self.rates = dict(zip(MEMBERS, rates, strict=True))
+        self.version_times = [0.0]
+        self.bases = [base_shares(LIMIT, MEMBERS)]
+        self.known_version = dict.fromkeys(MEMBERS, 0)
+        self.accounts = {
+            m: Account("limit", base, settings=TIMES) for m, base in self.bases[0].items()
+        }
+        self.ends: dict[str, list[float]] = {m: [] for m in MEMBERS}
+        self.messages: list[Message] = []
+        self.sent = 0
+
+    def now(self, member: str) -> float:
+        return 1_000.0 * (1 + MEMBERS.index(member)) + self.time * self.rates[member]
+
+    def end_overdue(self) -> None:
+        for member, ends in self.ends.items():
+            for end in [end for end in ends if end <= self.now(member)]:
+                ends.remove(end)
+                self.accounts[member].release(end)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 3.9, 8.0]))
+    def pass_time(self, seconds: float) -> None:
+        latest_news = self.version_times[-1] + TIMES.spread
+        if any(v < len(self.bases) - 1 for v in self.known_version.values()):
+            seconds = min(seconds, max(0.0, latest_news - self.time))
+        self.time += seconds
+        self.end_overdue()
+        if self.time >= latest_news:
+            for member in MEMBERS:
+                self.hear_version(member)
+
+    @rule(member=st.sampled_from(MEMBERS), length=st.floats(0.01, 6.0))
+    def take(self, member: str, length: float) -> None:
+        until = self.now(member) + length
+        if self.accounts[member].take(self.now(member), until):
+            self.ends[member].append(until)
+
+    @rule(member=st.sampled_from(MEMBERS), data=st.data())
+    def release(self, member: str, data: st.DataObject) -> None:
+        if self.ends[member]:
+            end = data.draw(st.sampled_from(self.ends[member]))
+            self.ends[member].remove(end)
+            self.accounts[member].release(end)
+
+    @rule(
+        sender=st.sampled_from(MEMBERS),
+        receiver=st.sampled_from(MEMBERS),
+        amount=st.integers(1, 5),
+        lifetime=st.sampled_from([0.5, 4.0]),
+    )
+    def ask(self, sender: str, receiver: str, amount: int, lifetime: float) -> None:
+        if sender == receiver:
+            return
+        self.sent += 1
+        asked_at = self.now(sender)
+        self.messages.append(
+            Message(sender, receiver, f"{sender}/{self.sent}", amount, lifetime, asked_at)
+        )
+
+    @precondition(lambda self: self.messages)
+    @rule(data=st.data(), keep=st.booleans())
+    def deliver(self, data: st.DataObject, keep: bool) -> None:
+        message = data.draw(st.sampled_from(self.messages))
+        if not keep:
+            self.messages.remove(message)
+        account = self.accounts[message.receiver]
+        if message.is_reply:
+            account.borrowed(
+                message.transfer_id, message.amount, message.asked_at, message.lifetime
+            )
+            return
+        granted = account.lend(
+            message.transfer_id, message.amount, message.lifetime, self.now(message.receiver)
+        )
+        reply = Message(
+            message.receiver,
+            message.sender,
+            message.transfer_id,
+            granted,
+            message.lifetime,
+            message.asked_at,
+            is_reply=True,
+        )
+        self.messages.append(reply)
+
+    @precondition(lambda self: self.messages)
+    @rule(data=st.data())
+    def lose(self, data: st.DataObject) -> None:
+        self.messages.remove(data.draw(st.sampled_from(self.messages)))
+
+    @rule(shift=st.integers(0, 2), tilt=st.integers(0, 4))
+    def publish_shares(self, shift: int, tilt: int) -> None:
+        """Move shares between members, once the version before is known to all."""
+        if any(v < len(self.bases) - 1 for v in self.known_version.values()):
+            return
+        shares = base_shares(LIMIT, MEMBERS)
+        first, second = MEMBERS[shift], MEMBERS[(shift + 1) % 3]
+        shares[first] -= tilt
+        shares[second] += tilt
+        self.bases.append(shares)
+        self.version_times.append(self.time)
+
+    @rule(member=st.sampled_from(MEMBERS))
+    def hear_version(self, member: str) -> None:
+        self.known_version[member] = len(self.bases) - 1
+        self.accounts[member].set_base(self.bases[-1][member], self.now(member))
+
+    @rule(member=st.sampled_from(MEMBERS))
+    def replace(self, member: str) -> None:
+        """Kill the process; its connections break, and a fresh one takes the seat."""
+        self.ends[member].clear()
+        base = self.bases[self.known_version[member]][member]
+        pending = any(b != self.bases[0] for b in self.bases)
+        if pending:
+            return
+        self.accounts[member] = Account(
+            "limit", base, now=self.now(member), settings=TIMES, fresh=True
+        )
+        self.messages = [m for m in self.messages if not (m.is_reply and m.receiver == member)]
+
+    @invariant()
+    def sum_in_use_is_within_the_limit(self) -> None:
+        in_use = sum(len(ends) for ends in self.ends.values())
+        assert in_use <= LIMIT, f"{in_use} in use, limit {LIMIT}"
+
+
+class EscrowMachineTest(unittest.TestCase):
+    """Run the machine with a fixed seed."""
+
+    def test_sum_never_exceeds_the_limit(self) -> None:
+        run_state_machine_as_test(EscrowMachine, settings=FIXED)
--- /dev/null
+++ b/tests/coord/test_retry.py
@@ -0,0 +1,37 @@
+"""Tests of the retry budget."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from briarspur.coord.retry import RetryBudget
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Retries stay a part of first attempts."""
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.lists(st.booleans(), max_size=300), st.sampled_from([0.0, 0.1, 0.5, 1.0]))
+    def test_retries_never_exceed_burst_and_share(self, steps: list[bool], share: float) -> None:
+        """A service that fails gets several times its usual load.
+
+        Every server of it fails, so every caller's request would be sent again and again.
+        """
+        budget = RetryBudget(share, burst=3.0)
+        firsts = retries = 0
+        for is_first in steps:
+            if is_first:
+                budget.first_attempt()
+                firsts += 1
+            else:
+                retries += budget.take()
+            self.assertLessEqual(retries, 3.0 + share * firsts + 1e-6)
+
+    def test_a_quiet_service_may_retry(self) -> None:
+        budget = RetryBudget(0.1, burst=1.0)
+        self.assertTrue(budget.take())
+        self.assertFalse(budget.take())
+        for _ in range(11):
+            budget.first_attempt()
+        self.assertTrue(budget.take())
