Decide about requests in a pure core, from classification to the final answer

A target's slots and the region's unit are taken before an action leaves the core and given back when its attempt ends. A request with a key passes the point of no return inside the memory of keys, and only a typed proof leads back.

--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,113 @@
+"""Tests of the decision core."""
+
+import random
+import unittest
+
+from briarspur.codes import Code
+from briarspur.coord.invariants import invariants
+from briarspur.messages import Answer, Begin, Dispatch, Failure, Forward, Refuse, Reply
+from tests.bench import Bench, body, make_core
+
+
+class ServeTest(unittest.TestCase):
+    """One entry with targets of its own."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+        self.core = make_core("entry-1", random.Random(1))
+        self.bench = Bench(self.core)
+
+    def test_request_is_dispatched_and_answered(self) -> None:
+        actions = self.bench.arrive("GET", "/times/today")
+        self.assertIsInstance(actions[0], Dispatch)
+        began = self.core.answer_began(actions[0].attempt_id, 200, 1.0)
+        self.assertIsInstance(began[0], Begin)
+        self.assertEqual(self.core.answer_ended(actions[0].attempt_id, None, 10, 1.1), [])
+        self.assertEqual(self.core.open_requests(), 0)
+        self.assertEqual(self.core.account.in_use, 0)
+
+    def test_unknown_path_is_refused(self) -> None:
+        actions = self.bench.arrive("GET", "/nowhere")
+        self.assertEqual(actions[0].refusal.code, Code.UNKNOWN_SERVICE)
+
+    def test_late_answer_of_a_superseded_attempt_is_dropped(self) -> None:
+        """A caller would get two answers mixed: its first target's, late, and its second's.
+
+        The first attempt breaks, the request is sent again, then the first target's answer arrives
+        after all.
+        """
+        first = self.bench.arrive("GET", "/times/today")[0]
+        second = self.core.attempt_failed(first.attempt_id, Failure.LOST, 0.1)[0]
+        self.assertIsInstance(second, Dispatch)
+        self.assertNotEqual(second.target.target_id, first.target.target_id)
+        self.assertEqual(self.core.answer_began(first.attempt_id, 200, 0.2), [])
+        self.assertEqual(self.core.answer_ended(first.attempt_id, None, 1, 0.2), [])
+
+    def test_full_targets_make_requests_wait_and_then_run(self) -> None:
+        actions = [self.bench.arrive("GET", f"/times/{n}") for n in range(4)]
+        sent = [a for batch in actions for a in batch if isinstance(a, Dispatch)]
+        self.assertEqual(len(sent), 2)
+        self.core.answer_began(sent[0].attempt_id, 200, 0.1)
+        next_sent = self.core.answer_ended(sent[0].attempt_id, None, 1, 0.1)
+        self.assertIsInstance(next_sent[0], Dispatch)
+
+
+class OnceOnlyTest(unittest.TestCase):
+    """Bookings run at most once."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+        self.core = make_core("entry-1", random.Random(1))
+        self.bench = Bench(self.core)
+        self.key = self.bench.key()
+
+    def test_booking_without_key_is_refused(self) -> None:
+        refused = self.bench.arrive("POST", "/booking/new")[0]
+        self.assertEqual(refused.refusal.code, Code.KEY_REQUIRED)
+
+    def test_repeat_joins_and_gets_the_same_answer(self) -> None:
+        sent = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
+        self.assertEqual(self.bench.arrive("POST", "/booking/new", key=self.key), [])
+        answer = Answer(201, (), b"booked")
+        self.core.answer_began(sent.attempt_id, 201, 0.1)
+        replies = self.core.answer_ended(sent.attempt_id, answer, 6, 0.1)
+        self.assertEqual([reply.answer.body for reply in replies], [b"booked"])
+        replay = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
+        self.assertIsInstance(replay, Reply)
+
+    def test_connection_lost_after_dispatch_is_never_tried_again(self) -> None:
+        """A passenger would be booked twice.
+
+        The backend server records the booking, its connection breaks before the answer, and the
+        entry sends the booking to another target.
+        """
+        sent = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
+        ended = self.core.attempt_failed(sent.attempt_id, Failure.LOST, 0.1)
+        self.assertEqual(ended[0].refusal.code, Code.OUTCOME_UNKNOWN)
+        again = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
+        self.assertEqual(again.refusal.code, Code.OUTCOME_UNKNOWN)
+
+    def test_shed_booking_is_tried_elsewhere_and_refused_as_not_run_at_last(self) -> None:
+        sent = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
+        sent = self.core.attempt_failed(sent.attempt_id, Failure.SHED, 0.1)[0]
+        self.assertIsInstance(sent, Dispatch)
+        refused = self.core.attempt_failed(sent.attempt_id, Failure.SHED, 0.2, retry_after=1.0)[0]
+        self.assertIsInstance(refused, Refuse)
+        self.assertEqual(refused.refusal.code, Code.OVERLOADED)
+
+    def test_key_of_another_entry_is_forwarded_to_its_home(self) -> None:
+        key = self.bench.key(incarnation=body(2))
+        sent = self.bench.arrive("POST", "/booking/new", key=key)[0]
+        self.assertIsInstance(sent, Forward)
+        self.assertTrue(sent.relay_refusals)
+        self.assertFalse(sent.dispatch_only)
+
+    def test_key_of_a_gone_entry_is_run_by_nobody(self) -> None:
+        """A passenger would be booked twice.
+
+        The home dispatched the booking and died; the repeat reaches another entry, which runs it.
+        """
+        key = self.bench.key(incarnation="f" * 16)
+        asked = self.bench.arrive("POST", "/booking/new", key=key)[0]
+        ended = self.core.outcome_fetched(asked.request_id, False, None, 0.1)
+        self.assertEqual(ended[0].refusal.code, Code.HOME_GONE)
