Keep and accept revisions of the policy; settle a lost answer by token

A revision is stored in the policy object with a token of its own and its author's note, and again in the history. A crash between the two writes is mended by the next acceptance, before it overwrites.

A write whose answer was lost is written again under the same condition: a read alone may be old and shows neither that it took effect nor that it did not. A conflict then is settled by the token of the revision that came first after the expected version, also when others followed it.

--- /dev/null
+++ b/briarspur/revision.py
@@ -0,0 +1,105 @@
+"""Revisions of the policy as the object store keeps them.
+
+The object ``policy`` holds the revision in force. Each revision is kept as
+``history/policy/<version>`` too, with the version in 12 digits so that names sort by version.
+"""
+
+import json
+from dataclasses import dataclass
+
+from pydantic import Field, ValidationError
+
+from briarspur.documents import Document, faults_of
+from briarspur.errors import DocumentError
+from briarspur.policy import PolicyDocument
+
+__all__ = [
+    "HISTORY_PREFIX",
+    "MAX_AUTHOR",
+    "MAX_NOTE",
+    "POLICY_NAME",
+    "Revision",
+    "decode_revision",
+    "encode_revision",
+    "history_name",
+]
+
+POLICY_NAME = "policy"
+HISTORY_PREFIX = "history/policy/"
+VERSION_DIGITS = 12
+MAX_AUTHOR = 100
+MAX_NOTE = 1_000
+
+
+class EnvelopeDocument(Document):
+    """The stored form of a revision."""
+
+    token: str = Field(min_length=1, max_length=100)
+    author: str = Field(max_length=MAX_AUTHOR)
+    note: str = Field(max_length=MAX_NOTE)
+    written_at: str = Field(default="", max_length=40, description="the author's UTC clock")
+    body: PolicyDocument
+
+
+@dataclass(frozen=True, slots=True)
+class Revision:
+    """One accepted version of the policy.
+
+    Attributes
+    ----------
+    version : int
+        The store's version of the object ``policy`` with this revision.
+    token : str
+        Unique to one write, so that its author can tell after a lost answer whose write it was.
+    written_at : str
+        ISO 8601 time by the author's clock; empty if not told. For people only: order is by
+        version.
+    """
+
+    version: int
+    token: str
+    author: str
+    note: str
+    written_at: str
+    document: PolicyDocument
+
+
+def history_name(version: int) -> str:
+    """Return the name of the object that keeps the revision of ``version``."""
+    return f"{HISTORY_PREFIX}{version:0{VERSION_DIGITS}d}"
+
+
+def encode_revision(
+    document: PolicyDocument, token: str, author: str, note: str, written_at: str
+) -> bytes:
+    """Return the stored form of a revision."""
+    envelope = {
+        "token": token,
+        "author": author,
+        "note": note,
+        "written_at": written_at,
+        "body": document.model_dump(mode="json"),
+    }
+    return json.dumps(envelope, sort_keys=True, separators=(",", ":")).encode()
+
+
+def decode_revision(value: bytes, version: int) -> Revision:
+    """Return the revision in a stored value.
+
+    Raises
+    ------
+    DocumentError
+        The value is no valid envelope or holds no valid policy.
+    """
+    try:
+        envelope = EnvelopeDocument.model_validate_json(value)
+    except ValidationError as error:
+        raise DocumentError(f"{POLICY_NAME} version {version}", faults_of(error)) from None
+    return Revision(
+        version=version,
+        token=envelope.token,
+        author=envelope.author,
+        note=envelope.note,
+        written_at=envelope.written_at,
+        document=envelope.body,
+    )
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,96 @@
+"""Small fakes at the interfaces that tests of the operators' programs share."""
+
+from collections.abc import Callable
+
+from briarspur.coord.errors import (
+    StoreConflictError,
+    StoreUnavailableError,
+    StoreUnclearError,
+)
+from briarspur.coord.store import ABSENT, StoredObject
+
+__all__ = ["FakeStore", "at_once"]
+
+
+async def at_once(_: float) -> None:
+    """Stand in for a sleep."""
+
+
+class FakeStore:
+    """Objects in a dict, with faults by script.
+
+    Attributes
+    ----------
+    lost_answers : int
+        How many coming writes take effect without an answer.
+    unsent : int
+        How many coming writes are lost before the store, also without an answer.
+    down : bool
+        Refuse every call.
+    stale_reads : int
+        How many coming reads of an object return its previous version.
+    after_write : callable or None
+        Called after each write that took effect, with the object's name.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, list[StoredObject]] = {}
+        self.lost_answers = 0
+        self.unsent = 0
+        self.down = False
+        self.stale_reads = 0
+        self.after_write: Callable[[str], None] | None = None
+        self.writes = 0
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("down")
+
+    async def get(self, name: str) -> StoredObject | None:
+        """Return the object, or an older version of it."""
+        self._check()
+        versions = self.objects.get(name, [])
+        if self.stale_reads and versions:
+            self.stale_reads -= 1
+            return versions[-2] if len(versions) > 1 else None
+        return versions[-1] if versions else None
+
+    async def list(self, prefix: str) -> list[StoredObject]:
+        """Return the objects below a prefix."""
+        self._check()
+        names = sorted(name for name in self.objects if name.startswith(prefix))
+        return [self.objects[name][-1] for name in names]
+
+    async def put(self, name: str, value: bytes, expected_version: int) -> int:
+        """Write conditionally."""
+        self._check()
+        if self.unsent:
+            self.unsent -= 1
+            raise StoreUnclearError(name)
+        versions = self.objects.get(name, [])
+        current = versions[-1].version if versions else ABSENT
+        if current != expected_version:
+            raise StoreConflictError(name, current)
+        written = StoredObject(name, current + 1, value)
+        self.objects.setdefault(name, []).append(written)
+        self.writes += 1
+        if self.after_write is not None:
+            self.after_write(name)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise StoreUnclearError(name)
+        return written.version
+
+    async def delete(self, name: str, expected_version: int) -> None:
+        """Delete conditionally."""
+        self._check()
+        versions = self.objects.get(name, [])
+        current = versions[-1].version if versions else ABSENT
+        if current != expected_version:
+            raise StoreConflictError(name, current)
+        del self.objects[name]
+
+    async def watch(self, name: str, newer_than: int, wait: float) -> StoredObject | None:
+        """Return a newer version at once or None."""
+        found = await self.get(name)
+        return found if found is not None and found.version > newer_than else None
--- /dev/null
+++ b/tests/test_repository.py
@@ -0,0 +1,117 @@
+"""Tests of accepting revisions of the policy."""
+
+import json
+import unittest
+
+from briarspur.coord.errors import StoreUnavailableError, StoreUnclearError
+from briarspur.coord.store import ABSENT
+from briarspur.errors import DocumentError
+from briarspur.policy import parse_policy
+from briarspur.repository import Draft, PolicyRepository
+from briarspur.revision import POLICY_NAME, decode_revision, history_name
+from tests.examples import small_policy
+from tests.fakes import FakeStore, at_once
+
+
+def draft(token: str) -> Draft:
+    document = parse_policy(json.dumps(small_policy()))
+    return Draft(document, token, "ana", f"note of {token}", "2026-01-01T00:00:00Z")
+
+
+class AcceptTest(unittest.IsolatedAsyncioTestCase):
+    """A revision is accepted once, at the version its author saw, or not at all."""
+
+    def setUp(self) -> None:
+        self.store = FakeStore()
+        self.repository = PolicyRepository(self.store, at_once)
+
+    async def test_versions_rise_and_are_kept(self) -> None:
+        await self.repository.accept(draft("t1"), ABSENT)
+        accepted = await self.repository.accept(draft("t2"), 1)
+        self.assertEqual(accepted.ok.version, 2)
+        self.assertEqual([r.version for r in await self.repository.history(10)], [2, 1])
+        self.assertEqual([r.token for r in await self.repository.history(1)], ["t2"])
+
+    async def test_a_racing_operator_is_refused_and_shown_what_is_in_force(self) -> None:
+        await self.repository.accept(draft("t1"), ABSENT)
+        await self.repository.accept(draft("theirs"), 1)
+        raced = await self.repository.accept(draft("mine"), 1)
+        self.assertEqual(raced.error.current.token, "theirs")
+        self.assertEqual(raced.error.current.version, 2)
+
+    async def test_a_lost_answer_is_not_taken_for_a_conflict(self) -> None:
+        # An operator applies a change; the store takes it and its answer is lost. Told
+        # "conflict", the operator would look for a colleague who does not exist, or apply the
+        # change twice.
+        await self.repository.accept(draft("t1"), ABSENT)
+        self.store.lost_answers = 1
+        accepted = await self.repository.accept(draft("t2"), 1)
+        self.assertEqual(accepted.ok.version, 2)
+        self.assertEqual(self.store.objects[POLICY_NAME][-1].version, 2)
+
+    async def test_an_old_read_does_not_deny_our_own_write(self) -> None:
+        # The answer is lost and the next reads come from a replica that lags. Believing them,
+        # the operator would be told that somebody else's change is in force.
+        await self.repository.accept(draft("t1"), ABSENT)
+
+        def lag(name: str) -> None:
+            if name == POLICY_NAME:
+                self.store.lost_answers = 1
+                self.store.stale_reads = 2
+
+        self.store.after_write = lag
+        accepted = await self.repository.accept(draft("t2"), 1)
+        self.assertEqual(accepted.ok.token, "t2")
+
+    async def test_our_write_is_found_although_another_followed_it(self) -> None:
+        # Our write takes effect, its answer is lost, and a colleague changes the policy before
+        # we ask. Our change was in force and is in the history: it must not be called refused.
+        await self.repository.accept(draft("t1"), ABSENT)
+        colleague = PolicyRepository(self.store, at_once)
+        ours = self.store.put
+
+        async def put(name: str, value: bytes, expected_version: int) -> int:
+            self.store.put = ours  # type: ignore[method-assign]
+            await ours(name, value, expected_version)
+            await colleague.accept(draft("theirs"), 2)
+            raise StoreUnclearError(name)
+
+        real_complete = self.repository._complete_history
+
+        async def complete(version: int) -> None:
+            await real_complete(version)
+            self.store.put = put  # type: ignore[method-assign]
+
+        self.repository._complete_history = complete  # type: ignore[method-assign]
+        accepted = await self.repository.accept(draft("t2"), 1)
+        self.assertEqual((accepted.ok.version, accepted.ok.token), (2, "t2"))
+
+    async def test_a_write_that_never_arrived_is_written_again(self) -> None:
+        self.store.unsent = 1
+        accepted = await self.repository.accept(draft("t1"), ABSENT)
+        self.assertEqual(accepted.ok.version, 1)
+
+    async def test_unsettled_and_unavailable_are_told_apart(self) -> None:
+        self.store.unsent = 100
+        with self.assertRaises(StoreUnclearError):
+            await self.repository.accept(draft("t1"), ABSENT)
+        self.store.down = True
+        with self.assertRaises(StoreUnavailableError):
+            await self.repository.accept(draft("t1"), ABSENT)
+
+    async def test_a_crash_before_the_history_is_mended_by_the_next_revision(self) -> None:
+        # An operator's program dies after the policy is written and before its history is. The
+        # revision is in force; once another replaces it, nobody could roll back to it.
+        value = json.dumps(
+            {"token": "t1", "author": "ana", "note": "", "body": small_policy()}
+        ).encode()
+        await self.store.put(POLICY_NAME, value, ABSENT)
+        self.assertNotIn(history_name(1), self.store.objects)
+        await self.repository.accept(draft("t2"), 1)
+        kept = self.store.objects[history_name(1)][-1]
+        self.assertEqual(decode_revision(kept.value, 1).token, "t1")
+
+    async def test_a_value_that_is_no_envelope_is_refused(self) -> None:
+        await self.store.put(POLICY_NAME, b"{}", ABSENT)
+        with self.assertRaises(DocumentError):
+            await self.repository.current()
