--- /dev/null
+++ b/briarspur/fetch.py
@@ -0,0 +1,119 @@
+"""Reading JSON over HTTP from other programs, bounded in time and size."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import Protocol as TwistedProtocol
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.http_headers import Headers
+
+from briarspur.errors import PeerError
+
+__all__ = ["Endpoint", "Fetcher", "HttpFetcher"]
+
+MAX_BYTES = 4 * 1024 * 1024
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Where a program answers HTTP; ``name`` is for people."""
+
+    name: str
+    host: str
+    port: int
+
+
+class Fetcher(Protocol):
+    """Reads a JSON document from another program."""
+
+    async def get_json(self, endpoint: Endpoint, path: str) -> Any:
+        """Return the document at ``path``.
+
+        Raises
+        ------
+        PeerError
+            No whole, valid answer came in time.
+        """
+
+
+class HttpFetcher:
+    """Reads over twisted.web.
+
+    Parameters
+    ----------
+    timeout : float
+        Seconds for a whole answer.
+    """
+
+    def __init__(self, reactor: IReactorTCP, timeout: float) -> None:
+        pool = HTTPConnectionPool(reactor, persistent=False)
+        self._agent = Agent(reactor, connectTimeout=timeout, pool=pool)
+        self._timeout = timeout
+
+    async def get_json(self, endpoint: Endpoint, path: str) -> Any:
+        """Return the document at ``path``."""
+        host = f"[{endpoint.host}]" if ":" in endpoint.host else endpoint.host
+        url = f"http://{host}:{endpoint.port}{path}".encode()
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._timeout):
+                headers = Headers({b"Accept": [b"application/json"]})
+                response = await self._agent.request(b"GET", url, headers).asFuture(loop)
+                body = await _read(response).asFuture(loop)
+        except TimeoutError:
+            raise PeerError(f"{endpoint.name}: no answer within {self._timeout:g} s") from None
+        except Exception as error:
+            # Twisted raises many unrelated classes here; each means that no whole answer came.
+            raise PeerError(f"{endpoint.name}: {_reason(error)}") from error
+        if response.code != OK:
+            raise PeerError(f"{endpoint.name}: HTTP status {response.code} for {path}")
+        try:
+            return json.loads(body)
+        except ValueError:
+            raise PeerError(f"{endpoint.name}: the answer to {path} is not JSON") from None
+
+
+class _Body(TwistedProtocol):
+    """Collects a body up to the size limit."""
+
+    def __init__(self, done: "Deferred[bytes]") -> None:
+        self._done = done
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Collect a chunk."""
+        self._size += len(data)
+        if self._size > MAX_BYTES:
+            self._chunks.clear()
+            transport: Any = self.transport
+            transport.loseConnection()
+            return
+        self._chunks.append(data)
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        """Hand over the body if it is whole."""
+        if self._done.called:
+            return
+        if self._size > MAX_BYTES:
+            self._done.errback(ValueError(f"more than {MAX_BYTES} bytes"))
+        elif reason is not None and reason.check(ResponseDone):
+            self._done.callback(b"".join(self._chunks))
+        else:
+            self._done.errback(ValueError("the answer was cut short"))
+
+
+def _read(response: Any) -> "Deferred[bytes]":
+    done: Deferred[bytes] = Deferred()
+    response.deliverBody(_Body(done))
+    return done
+
+
+def _reason(error: Exception) -> str:
+    return str(error).splitlines()[0] if str(error) else type(error).__name__
--- a/briarspur/repository.py
+++ b/briarspur/repository.py
@@ -18,12 +18,10 @@
     StoreUnavailableError,
     StoreUnclearError,
 )
-from briarspur.coord.store import ABSENT, ObjectStore, StoredObject
-from briarspur.errors import DocumentError, Fault
-from briarspur.policy import PolicyDocument
+from briarspur.coord.store import ABSENT, ObjectStore
 from briarspur.revision import (
-    HISTORY_PREFIX,
     POLICY_NAME,
+    Draft,
     Revision,
     decode_revision,
     encode_revision,
@@ -38,17 +36,6 @@
 Sleep = Callable[[float], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class Draft:
-    """A policy to be accepted; ``token`` is unique to this one write."""
-
-    document: PolicyDocument
-    token: str
-    author: str
-    note: str
-    written_at: str
-
-
 @dataclass(frozen=True, slots=True)
 class Raced:
     """The policy was changed by somebody else; nothing was written.
@@ -84,21 +71,20 @@
 
     async def revision(self, version: int) -> Revision | None:
         """Return one revision, in force or past; None if there is none of that version."""
-        found = await self._store.get(history_name(version))
-        if found is not None:
-            return decode_revision(found.value, version)
+        kept = await self._kept(version)
+        if kept is not None:
+            return kept
         current = await self.current()
         return current if current is not None and current.version == version else None
 
     async def history(self, limit: int) -> list[Revision]:
-        """Return at most ``limit`` revisions, the newest first."""
-        found = await self._store.list(HISTORY_PREFIX)
-        newest = sorted(found, key=lambda item: item.name, reverse=True)[:limit]
-        revisions = [decode_revision(item.value, _version_of(item)) for item in newest]
-        current = await self.current()
-        if current is not None and all(past.version < current.version for past in revisions):
-            revisions.insert(0, current)
-        return revisions[:limit]
+        """Return at most ``limit`` revisions, the newest first, as far as they are kept."""
+        revisions: list[Revision] = []
+        found = await self.current()
+        while found is not None and len(revisions) < limit:
+            revisions.append(found)
+            found = await self._kept(found.previous)
+        return revisions
 
     async def accept(self, draft: Draft, expected_version: int) -> Result[Revision, Raced]:
         """Make ``draft`` the revision in force if the policy is still at ``expected_version``.
@@ -111,9 +97,7 @@
             The write may have taken effect and the store could not be asked.
         """
         await self._complete_history(expected_version)
-        value = encode_revision(
-            draft.document, draft.token, draft.author, draft.note, draft.written_at
-        )
+        value = encode_revision(draft, expected_version)
         try:
             version = await self._put(value, expected_version, draft.token)
         except StoreConflictError as error:
@@ -126,13 +110,23 @@
 
         Guards against a revision that nobody can roll back to: its author crashed between the
         write of ``policy`` and that of the history. It holds because the overwriting write is
-        conditional on the version that is stored here.
+        conditional on the version that is stored here, and a read older than it is repeated.
         """
         if expected_version == ABSENT:
             return
-        found = await self._store.get(POLICY_NAME)
-        if found is not None and found.version == expected_version:
+        for pause in SETTLE_PAUSES:
+            await self._sleep(pause)
+            found = await self._store.get(POLICY_NAME)
+            if found is not None and found.version >= expected_version:
+                break
+        else:
+            raise StoreUnavailableError(f"reads are older than version {expected_version}")
+        if found.version > expected_version:
+            return
+        try:
             await self._create(history_name(found.version), found.value)
+        except StoreUnclearError as error:
+            raise StoreUnavailableError(f"the history cannot be written: {error}") from error
 
     async def _keep(self, version: int, value: bytes) -> None:
         """Store the accepted revision; the next one mends it if this cannot be done now."""
@@ -185,17 +179,17 @@
         self, token: str, expected_version: int, conflict: StoreConflictError
     ) -> int | None:
         """Return the version that our write made; None if another write came first."""
-        current = await self._read_at_least(conflict.current_version)
-        if current is not None and current.token == token:
-            return current.version
-        newest = current.version if current is not None else conflict.current_version
-        for version in range(expected_version + 1, newest):
-            found = await self._store.get(history_name(version))
-            if found is not None:
-                # The first revision after the expected one decides: ours came first or never.
-                ours = decode_revision(found.value, version).token == token
-                return version if ours else None
-        return None
+        found = await self._read_at_least(conflict.current_version)
+        while found is not None and found.previous > expected_version:
+            found = await self._kept(found.previous)
+        if found is None:
+            raise StoreUnclearError(f"{POLICY_NAME}: the history has a gap; ask for it again")
+        # The revision that replaced the expected one decides: ours came first or never.
+        return found.version if found.token == token else None
+
+    async def _kept(self, version: int) -> Revision | None:
+        found = await self._store.get(history_name(version)) if version != ABSENT else None
+        return decode_revision(found.value, version) if found is not None else None
 
     async def _read_at_least(self, version: int) -> Revision | None:
         """Read until the answer is as new as ``version``, since reads may be old."""
@@ -208,10 +202,3 @@
             if version == ABSENT or (current is not None and current.version >= version):
                 return current
         raise StoreUnclearError(f"{POLICY_NAME}: reads are older than version {version}")
-
-
-def _version_of(item: StoredObject) -> int:
-    try:
-        return int(item.name.removeprefix(HISTORY_PREFIX))
-    except ValueError:
-        raise DocumentError(item.name, [Fault("(name)", "no version")]) from None
--- a/briarspur/revision.py
+++ b/briarspur/revision.py
@@ -9,6 +9,7 @@
 
 from pydantic import Field, ValidationError
 
+from briarspur.coord.store import ABSENT
 from briarspur.documents import Document, faults_of
 from briarspur.errors import DocumentError
 from briarspur.policy import PolicyDocument
@@ -18,6 +19,7 @@
     "MAX_AUTHOR",
     "MAX_NOTE",
     "POLICY_NAME",
+    "Draft",
     "Revision",
     "decode_revision",
     "encode_revision",
@@ -38,9 +40,21 @@
     author: str = Field(max_length=MAX_AUTHOR)
     note: str = Field(max_length=MAX_NOTE)
     written_at: str = Field(default="", max_length=40, description="the author's UTC clock")
+    previous: int = Field(default=ABSENT, ge=ABSENT, description="the version it replaced")
     body: PolicyDocument
 
 
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """A policy to be accepted; ``token`` is unique to this one write."""
+
+    document: PolicyDocument
+    token: str
+    author: str
+    note: str
+    written_at: str
+
+
 @dataclass(frozen=True, slots=True)
 class Revision:
     """One accepted version of the policy.
@@ -54,6 +68,9 @@
     written_at : str
         ISO 8601 time by the author's clock; empty if not told. For people only: order is by
         version.
+    previous : int
+        The version it replaced, so that the history can be walked: versions come from one counter
+        of the whole store and so are not consecutive. ``ABSENT`` if there was none.
     """
 
     version: int
@@ -61,6 +78,7 @@
     author: str
     note: str
     written_at: str
+    previous: int
     document: PolicyDocument
 
 
@@ -69,16 +87,15 @@
     return f"{HISTORY_PREFIX}{version:0{VERSION_DIGITS}d}"
 
 
-def encode_revision(
-    document: PolicyDocument, token: str, author: str, note: str, written_at: str
-) -> bytes:
-    """Return the stored form of a revision."""
+def encode_revision(draft: Draft, previous: int) -> bytes:
+    """Return the stored form of a draft that replaces the version ``previous``."""
     envelope = {
-        "token": token,
-        "author": author,
-        "note": note,
-        "written_at": written_at,
-        "body": document.model_dump(mode="json"),
+        "token": draft.token,
+        "author": draft.author,
+        "note": draft.note,
+        "written_at": draft.written_at,
+        "previous": previous,
+        "body": draft.document.model_dump(mode="json"),
     }
     return json.dumps(envelope, sort_keys=True, separators=(",", ":")).encode()
 
@@ -101,5 +118,6 @@
         author=envelope.author,
         note=envelope.note,
         written_at=envelope.written_at,
+        previous=envelope.previous,
         document=envelope.body,
     )
