Give operators their verbs as plain functions

check, diff, apply, rollback, drains with their progress, status and look-up. A drain counts as done only when every entry has it in force and says that nothing is in flight: an entry that does not answer may still hold requests, so the drain waits for it and names it.

--- /dev/null
+++ b/briarspur/porcelain.py
@@ -0,0 +1,350 @@
+"""The operators' verbs as plain functions, for the command line, the console and scripts.
+
+What can be refused returns a ``Result``; a store or an entry that cannot be reached raises an
+error of ``coord.errors`` or ``errors``.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import quote
+
+from expression import Error, Ok, Result
+from pydantic import ValidationError
+
+from briarspur.change import Change, Comparison, compare, difference
+from briarspur.coord.store import ABSENT
+from briarspur.errors import DocumentError, Fault, PeerError
+from briarspur.fetch import Endpoint, Fetcher
+from briarspur.lint import warnings_of
+from briarspur.policy import PolicyDocument, TargetState, parse_policy
+from briarspur.repository import PolicyRepository
+from briarspur.revision import Draft, Revision
+from briarspur.status import EntryStatus, FleetStatus, summarize
+
+__all__ = [
+    "Accepted",
+    "CheckReport",
+    "DiffReport",
+    "Directory",
+    "DrainProgress",
+    "LookupReport",
+    "Race",
+    "Refused",
+    "Signature",
+    "apply",
+    "as_json",
+    "check",
+    "diff",
+    "drain_progress",
+    "lookup",
+    "rollback",
+    "set_target_state",
+    "status",
+]
+
+STATUS_PATH = "/status"
+LOOKUP_PATH = "/lookup"
+ASKED_AT_ONCE = 20
+RACE_ATTEMPTS = 3
+
+
+class Directory(Protocol):
+    """Knows where entries answer HTTP, by a list that may lag."""
+
+    async def endpoints(self) -> list[Endpoint]:
+        """Return the entries' endpoints, each named by its entry id."""
+
+
+@dataclass(frozen=True, slots=True)
+class Signature:
+    """Who writes a revision and why; ``token`` is unique to the write."""
+
+    token: str
+    author: str
+    note: str
+    written_at: str
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """A document's faults, or the warnings about a valid one."""
+
+    document: PolicyDocument | None
+    faults: tuple[Fault, ...]
+    warnings: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DiffReport:
+    """What a document would change in the revision in force."""
+
+    version: int
+    changes: tuple[Change, ...]
+    warnings: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A revision that is in force in the store, with what it changed."""
+
+    revision: Revision
+    changes: tuple[Change, ...]
+    warnings: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Race:
+    """The policy is not at the version the author edited; nothing was written.
+
+    Attributes
+    ----------
+    current : Revision or None
+        What is in force.
+    comparison : Comparison or None
+        Both edits side by side; None if the edited version is not in the history.
+    """
+
+    expected_version: int
+    current: Revision | None
+    comparison: Comparison | None
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """What was asked for makes no sense with the policy in force; nothing was written."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class DrainProgress:
+    """How far a drain is.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests at the target, over the entries that answered.
+    waiting_for : dict of str to str
+        Entries of which it is not known that the drain is in force, with the reason.
+    done : bool
+        Every entry has the drain in force and none has a request at the target.
+    """
+
+    target_id: str
+    in_flight: int
+    waiting_for: dict[str, str]
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LookupReport:
+    """The answer a caller would get, and who gave it."""
+
+    asked: str
+    answer: dict[str, Any]
+    not_answering: dict[str, str]
+
+
+def check(text: str | bytes, source: str = "policy") -> CheckReport:
+    """Check a document without a store."""
+    try:
+        document = parse_policy(text, source)
+    except DocumentError as error:
+        return CheckReport(None, tuple(error.faults), ())
+    return CheckReport(document, (), tuple(warnings_of(document)))
+
+
+async def diff(repository: PolicyRepository, document: PolicyDocument) -> DiffReport:
+    """Return what ``document`` would change."""
+    current = await repository.current()
+    version = current.version if current else ABSENT
+    changes = difference(as_json(current.document) if current else {}, as_json(document))
+    return DiffReport(version, tuple(changes), tuple(warnings_of(document)))
+
+
+async def apply(
+    repository: PolicyRepository,
+    document: PolicyDocument,
+    expected_version: int,
+    signature: Signature,
+) -> Result[Accepted, Race]:
+    """Make ``document`` the policy in force, if the policy is still at ``expected_version``.
+
+    Parameters
+    ----------
+    expected_version : int
+        The version that was edited; ``ABSENT`` if there must be no policy yet.
+    """
+    draft = Draft(document, signature.token, signature.author, signature.note, signature.written_at)
+    accepted = await repository.accept(draft, expected_version)
+    base = await _document_of(repository, expected_version)
+    if accepted.is_ok():
+        changes = difference(base or {}, as_json(document))
+        return Ok(Accepted(accepted.ok, tuple(changes), tuple(warnings_of(document))))
+    current = accepted.error.current
+    comparison = None
+    if current is not None and base is not None:
+        comparison = compare(base, as_json(document), as_json(current.document))
+    return Error(Race(expected_version, current, comparison))
+
+
+async def rollback(
+    repository: PolicyRepository, version: int, expected_version: int, signature: Signature
+) -> Result[Accepted, Race | Refused]:
+    """Put the document of a past version in force again, as a new and higher version."""
+    past = await repository.revision(version)
+    if past is None:
+        return Error(Refused(f"no version {version} in the history"))
+    accepted = await apply(repository, past.document, expected_version, signature)
+    return Ok(accepted.ok) if accepted.is_ok() else Error(accepted.error)
+
+
+async def set_target_state(
+    repository: PolicyRepository, target_id: str, state: TargetState, signature: Signature
+) -> Result[Accepted, Race | Refused]:
+    """Say that a target is leaving or active, in the policy.
+
+    A racing edit elsewhere in the policy is no hindrance: the state is set again in what the
+    other operator made.
+    """
+    for _ in range(RACE_ATTEMPTS):
+        current = await repository.current()
+        if current is None:
+            return Error(Refused("no policy is in force"))
+        if target_id not in current.document.targets:
+            return Error(Refused(f"no target {target_id} in version {current.version}"))
+        target = current.document.targets[target_id].model_copy(update={"state": state})
+        targets = {**current.document.targets, target_id: target}
+        document = current.document.model_copy(update={"targets": targets})
+        accepted = await apply(repository, document, current.version, signature)
+        if accepted.is_ok():
+            return Ok(accepted.ok)
+    return Error(accepted.error)
+
+
+async def status(
+    repository: PolicyRepository, directory: Directory, fetcher: Fetcher
+) -> FleetStatus:
+    """Ask every entry for its state."""
+    current = await repository.current()
+    statuses, unreachable = await _ask_entries(directory, fetcher)
+    version = current.version if current else ABSENT
+    return summarize(version, statuses, unreachable)
+
+
+async def drain_progress(
+    target_id: str,
+    version: int,
+    directory: Directory,
+    fetcher: Fetcher,
+    sleep: Callable[[float], Awaitable[None]],
+    interval: float,
+) -> AsyncIterator[DrainProgress]:
+    """Yield how far a drain is until it is done.
+
+    Parameters
+    ----------
+    version : int
+        The revision that says the target is leaving.
+    interval : float
+        Seconds between two questions to the entries.
+    """
+    while True:
+        statuses, unreachable = await _ask_entries(directory, fetcher)
+        progress = _progress(target_id, version, statuses, unreachable)
+        yield progress
+        if progress.done:
+            return
+        await sleep(interval)
+
+
+async def lookup(
+    directory: Directory, fetcher: Fetcher, service: str, client: str | None
+) -> LookupReport:
+    """Ask as a caller would: the entries in turn, until one answers.
+
+    Parameters
+    ----------
+    client : str or None
+        Ask on behalf of a caller with this IP number; None asks with one's own.
+
+    Raises
+    ------
+    PeerError
+        No entry answered.
+    """
+    not_answering: dict[str, str] = {}
+    path = f"{LOOKUP_PATH}?service={quote(service, safe='')}"
+    if client is not None:
+        path += f"&client={quote(client, safe='')}"
+    for endpoint in await directory.endpoints():
+        try:
+            answer = await fetcher.get_json(endpoint, path)
+        except PeerError as error:
+            not_answering[endpoint.name] = str(error)
+            continue
+        return LookupReport(endpoint.name, answer, not_answering)
+    raise PeerError("no entry answered: " + "; ".join(not_answering.values()))
+
+
+def as_json(document: PolicyDocument) -> dict[str, Any]:
+    """Return the document as JSON values, for comparing and printing."""
+    return document.model_dump(mode="json")
+
+
+async def _document_of(repository: PolicyRepository, version: int) -> dict[str, Any] | None:
+    if version == ABSENT:
+        return {}
+    revision = await repository.revision(version)
+    return as_json(revision.document) if revision else None
+
+
+async def _ask_entries(
+    directory: Directory, fetcher: Fetcher
+) -> tuple[list[EntryStatus], dict[str, str]]:
+    """Return what the entries said, and by entry id why others said nothing."""
+    endpoints = await directory.endpoints()
+    gate = asyncio.Semaphore(ASKED_AT_ONCE)
+
+    async def ask(endpoint: Endpoint) -> EntryStatus | PeerError:
+        async with gate:
+            return await _ask(endpoint, fetcher)
+
+    answers = await asyncio.gather(*(ask(endpoint) for endpoint in endpoints))
+    statuses: list[EntryStatus] = []
+    unreachable: dict[str, str] = {}
+    for endpoint, answer in zip(endpoints, answers, strict=True):
+        if isinstance(answer, PeerError):
+            unreachable[endpoint.name] = str(answer)
+        else:
+            statuses.append(answer)
+    return statuses, unreachable
+
+
+async def _ask(endpoint: Endpoint, fetcher: Fetcher) -> EntryStatus | PeerError:
+    try:
+        return EntryStatus.model_validate(await fetcher.get_json(endpoint, STATUS_PATH))
+    except PeerError as error:
+        return error
+    except ValidationError as error:
+        return PeerError(f"{endpoint.name}: {error.error_count()} faults in its status")
+
+
+def _progress(
+    target_id: str, version: int, statuses: Sequence[EntryStatus], unreachable: dict[str, str]
+) -> DrainProgress:
+    waiting_for = dict(unreachable)
+    for entry in statuses:
+        if entry.policy_version < version:
+            waiting_for[entry.entry_id] = f"version {entry.policy_version} in force"
+    in_flight = sum(
+        drain.in_flight
+        for entry in statuses
+        for drain in entry.drains
+        if drain.target_id == target_id
+    )
+    # An entry that is not heard from may still have requests at the target: not done.
+    done = bool(statuses) and not waiting_for and in_flight == 0
+    return DrainProgress(target_id, in_flight, waiting_for, done)
