Choose region and place in a filter of its own; exchange loads, verdicts and loans

A request that its region can't take goes to the nearest region that seems to have room, within the cap on emergency shifts; it was refused before although another region stood idle. What peers say of leaving targets carries its age, so it ends.

--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -11,12 +11,10 @@
 
 from briarspur.classify import Classifier
 from briarspur.codes import Code
-from briarspur.coord.escrow import Account, EscrowSettings, base_shares
+from briarspur.coord.escrow import Account
 from briarspur.coord.invariants import invariants
 from briarspur.coord.once import KeptAnswer, KeyMemory, NotRunProof
 from briarspur.coord.quarantine import Admission, Quarantine
-from briarspur.coord.retry import RetryBudget
-from briarspur.coord.shift import ShiftBudget, ShiftCap
 from briarspur.dedupe import (
     AskStore,
     ClaimKey,
@@ -27,6 +25,7 @@
     ToHome,
     WaitForOutcome,
 )
+from briarspur.exchange import Exchange
 from briarspur.finals import Finals
 from briarspur.inflight import InFlight
 from briarspur.members import MemberView, ViewedMember
@@ -40,7 +39,6 @@
     Failure,
     FetchOutcome,
     Kind,
-    MovedBy,
     Refusal,
     Refuse,
     Reply,
@@ -49,7 +47,8 @@
 from briarspur.ownership import OwnerSlots, SlotRule
 from briarspur.placement import Placement, Queued, Refused, ToEntry, ToTarget
 from briarspur.policy import Policy
-from briarspur.region import RegionChooser, Splits
+from briarspur.region import Splits
+from briarspur.routing import Routing
 from briarspur.target import Chooser, LeastInFlight, OwnTarget
 from briarspur.work import Attempt, Classified, Work
 
@@ -143,12 +142,10 @@
             rng,
             self.settings.queue_limit,
         )
-        self._rng = rng
         self._dedupe = Deduplicator(self.keys)
         self._classifier: Classifier | None = None
-        self._regions: RegionChooser | None = None
-        self._shifts = ShiftBudget({})
-        self._retries_by_service: dict[str, RetryBudget] = {}
+        self.exchange = Exchange(me, incarnation, self.placement, self.quarantine)
+        self.routing = Routing(me, region, self.placement, rng)
         self._inflight = InFlight(region, self.placement, self.quarantine, self.keys)
         self._finals = Finals(self.keys, self.placement)
         self._first_assignment = True
@@ -163,9 +160,8 @@
         invariants.check("policy-version-rises", policy.version > old, (old, policy.version))
         self.policy = policy
         self._classifier = Classifier(policy, home_of)
-        self._regions = RegionChooser(policy, self._rng, self._regions)
         self.keys.set_lifetime(policy.lookup_lifetime + policy.key_lifetime)
-        self._set_limits(policy, now)
+        self.routing.policy_accepted(policy, now)
         self._assign(now)
         out: list[Action] = []
         self._run_waiting(now, out)
@@ -181,24 +177,7 @@
 
     def plan_accepted(self, splits: Splits) -> None:
         """Let the splits of a plan, by service and home region, go before the policy's."""
-        if self._regions is not None:
-            self._regions.follow_plan(splits)
-
-    def _set_limits(self, policy: Policy, now: float) -> None:
-        region = policy.regions_by_name[self.region]
-        shares = base_shares(region.in_flight_limit, region.entry_ids)
-        rules = [rule for service in policy.services_by_name.values() for rule in service.rules]
-        longest = max(rule.deadline for rule in rules)
-        escrow = EscrowSettings(longest_use=longest)
-        self.placement.set_limit(shares.get(self.me, 0), now, escrow)
-        caps: dict[str, ShiftCap] = {}
-        for kind, cap in policy.caps_by_kind.items():
-            share = base_shares(cap.requests, sorted(policy.entry_zones)).get(self.me, 0)
-            caps[kind.value] = ShiftCap(share, cap.window)
-        self._shifts.set_shares(caps)
-        for service in policy.services_by_name:
-            budget = self._retries_by_service.setdefault(service, RetryBudget(policy.retry_share))
-            budget.set_share(policy.retry_share)
+        self.routing.follow_plan(splits)
 
     def _assign(self, now: float) -> None:
         if self.policy is None or self.me not in self.view.by_id:
@@ -266,7 +245,7 @@
         match step:
             case Run(key=key):
                 work.key = key
-                self._retries_by_service[item.service.name].first_attempt()
+                self.routing.first_attempt(work)
                 self._admit(work, now, out)
             case ClaimKey(key=key):
                 work.key = key
@@ -288,41 +267,14 @@
         if now >= work.deadline:
             self._finals.give_up(work, Refusal(Code.DEADLINE_TOO_SHORT), out)
             return
-        if self._chose_region(work, now, out):
-            self._place(work, now, out)
-
-    def _chose_region(self, work: Work, now: float, out: list[Action]) -> bool:
-        request = work.request
-        if request.forwarded_by is not None and (work.key is None or request.dispatch_only):
-            work.region = self.region
-            return True
-        assert self._regions is not None
-        service = work.service.name
-
-        def usable(region: str) -> bool:
-            return self.placement.usable(service, region)
-
-        def gate(service: str, home: str, region: str, kind: MovedBy) -> bool:
-            return self._shifts.take(service, home, region, kind.value, now)
-
-        chosen = self._regions.choose(work.service, work.home, usable, gate)
-        if chosen.is_error():
-            refusal = chosen.error
-            if refusal.code is Code.SHIFT_CAPPED:
-                wait = self._shifts.retry_after(MovedBy.EMERGENCY.value, now)
-                refusal = Refusal(refusal.code, refusal.detail, wait * (1 + self._rng.random()))
-            else:
-                refusal = Refusal(refusal.code, refusal.detail, 1.0 + self._rng.random())
+        refusal = self.routing.choose_region(work, now)
+        if refusal is not None:
             self._finals.give_up(work, refusal, out)
-            return False
-        work.region, work.moved_by = chosen.ok.region, chosen.ok.moved_by
-        return True
+            return
+        self._place(work, now, out)
 
     def _place(self, work: Work, now: float, out: list[Action]) -> None:
-        request = work.request
-        may_forward = not request.dispatch_only
-        may_forward = may_forward and (request.forwarded_by is None or work.key is not None)
-        placed = self.placement.place(work, now, may_forward)
+        placed = self.routing.place(work, now)
         match placed:
             case ToTarget(own=own):
                 self._dispatch(work, own, now, out)
@@ -436,7 +388,7 @@
         if work.kind is Kind.ONCE_ONLY and proof is None:
             # The booking may have run: a second attempt could record it twice.
             return False
-        if failure is Failure.DEADLINE or not self._retries_by_service[work.service.name].take():
+        if failure is Failure.DEADLINE or not self.routing.take_retry(work):
             return False
         return work.key is None or (proof is not None and self.keys.retry(work.key, proof))
 
@@ -483,7 +435,7 @@
             return out
         if result is ClaimResult.OURS:
             self.keys.claimed(work.key)
-            self._retries_by_service[work.service.name].first_attempt()
+            self.routing.first_attempt(work)
             self._admit(work, now, out)
             return out
         # Another entry holds the claim, or nobody can tell: an earlier copy may have run there.
--- a/briarspur/placement.py
+++ b/briarspur/placement.py
@@ -30,9 +30,6 @@
 MAX_RETRY_AFTER = 10.0
 """Bounds in seconds of what a refused caller is told."""
 
-SIGNAL_LIFETIME = 30.0
-"""Seconds for which a target's own word that it is leaving counts; then one request asks again."""
-
 
 @dataclass(frozen=True, slots=True)
 class ToTarget:
@@ -163,6 +160,14 @@
         """Tell whether a region has an entry that owns a target of the service."""
         return bool(self._owners_by_flow.get((service, region)))
 
+    def has_room(self, service: str, region: str, now: float) -> bool:
+        """Tell whether another entry is thought to have a free slot for the service there."""
+        return any(
+            self.loads.free(member.address.entry_id, service, now) > 0
+            for member in self._owners_by_flow.get((service, region), [])
+            if member.address.entry_id != self._me
+        )
+
     def place(self, work: Work, now: float, may_forward: bool) -> Placed:
         """Find a place for a request; never one that would exceed a limit."""
         if work.region == self.region:
@@ -273,6 +278,13 @@
             gone += late
         return gone
 
+    def signal(self, target_id: str, until: float) -> None:
+        """Give a target no new work until then, because it is known to be leaving."""
+        for targets in self.targets_by_service.values():
+            own = targets.by_id.get(target_id)
+            if own is not None:
+                own.signal_until = until
+
     def forget(self, work: Work) -> None:
         """Take a request out of the queue, if it waits."""
         self._waiting_by_service[work.service.name].remove(work)
--- a/briarspur/policy.py
+++ b/briarspur/policy.py
@@ -247,6 +247,12 @@
     key_lifetime: float
     retry_share: float
 
+    @property
+    def longest_deadline(self) -> float:
+        """Return the longest deadline of any class of request, in seconds."""
+        services = self.services_by_name.values()
+        return max(rule.deadline for service in services for rule in service.rules)
+
     def targets_of(self, service: str, region: str) -> list[Target]:
         """Return the targets of a service in a region, in the order of their ids."""
         found = [
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -91,6 +91,9 @@
         sent = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
         sent = self.core.attempt_failed(sent.attempt_id, Failure.SHED, 0.1)[0]
         self.assertIsInstance(sent, Dispatch)
+        sent = self.core.attempt_failed(sent.attempt_id, Failure.SHED, 0.1)[0]
+        self.assertIsInstance(sent, Forward)
+        self.assertTrue(sent.dispatch_only)
         refused = self.core.attempt_failed(sent.attempt_id, Failure.SHED, 0.2, retry_after=1.0)[0]
         self.assertIsInstance(refused, Refuse)
         self.assertEqual(refused.refusal.code, Code.OVERLOADED)
