--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,66 @@
+"""How every stand-in process runs: one asyncio loop, HTTP listeners, an end by SIGTERM."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any, cast
+
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+__all__ = ["install_reactor", "listen", "run", "send_json"]
+
+JSON_TYPE = b"application/json"
+LISTEN_BACKLOG = 512
+
+
+def install_reactor() -> Any:
+    """Install Twisted's reactor over a new asyncio loop; return it."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+
+    return reactor
+
+
+def listen(resource: Resource, host: str, port: int) -> Any:
+    """Serve ``resource``; return the listening port."""
+    from twisted.internet import reactor
+
+    site = Site(resource)
+    site.displayTracebacks = False
+    return cast(Any, reactor).listenTCP(port, site, backlog=LISTEN_BACKLOG, interface=host)
+
+
+def run(start: Callable[[], None]) -> None:
+    """Run until SIGTERM or SIGINT; ``start`` is called once the loop runs.
+
+    A fault in ``start`` ends the process, so that a launcher does not wait for it in vain.
+    """
+    reactor = install_reactor()
+    faults: list[BaseException] = []
+
+    def begin() -> None:
+        try:
+            start()
+        except Exception as error:
+            faults.append(error)
+            reactor.stop()
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if faults:
+        raise faults[0]
+
+
+def send_json(request: Request, value: object, status: int = 200) -> None:
+    """Answer ``request`` with a JSON document."""
+    body = json.dumps(value).encode()
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", JSON_TYPE)
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
