--- a/briarspur/coord/quarantine.py
+++ b/briarspur/coord/quarantine.py
@@ -77,18 +77,26 @@
     expires_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class AloneRun:
+    """A suspect running on a target that it has for itself."""
+
+    digest: bytes
+    target: str
+
+
 class Quarantine:
     """Suspects and quarantined requests, as one member knows them."""
 
     def __init__(self, settings: QuarantineSettings | None = None) -> None:
         self._settings = settings or QuarantineSettings()
         self._record_by_digest: dict[bytes, Record] = {}
-        self._alone: bytes | None = None
+        self._alone: AloneRun | None = None
 
     @property
-    def alone(self) -> bytes | None:
-        """The suspect that runs alone now."""
-        return self._alone
+    def alone_target(self) -> str | None:
+        """The target that a suspect has for itself now; nothing else may be sent there."""
+        return None if self._alone is None else self._alone.target
 
     def admit(self, digest: bytes, now: float) -> Admission:
         """Return how a request may run."""
@@ -97,19 +105,20 @@
             return Admission.RUN
         return Admission.REFUSE if record.quarantined else Admission.RUN_ALONE
 
-    def begin_alone(self, digest: bytes, now: float) -> bool:
+    def begin_alone(self, digest: bytes, target: str, now: float) -> bool:
         """Take this member's one place for suspects; False if it is taken or the request refused.
 
-        Two copies of a suspect that ran side by side on two servers could crash both.
+        Two copies of a suspect that ran side by side on two servers could crash both. The place is
+        kept until the run on ``target`` ends: another copy's crash or answer does not free it.
         """
         if self._alone is not None or self.admit(digest, now) is Admission.REFUSE:
             return False
-        self._alone = digest
+        self._alone = AloneRun(digest, target)
         return True
 
-    def end_alone(self, digest: bytes) -> None:
+    def end_alone(self, digest: bytes, target: str) -> None:
         """Give the place back, however the run ended."""
-        if self._alone == digest:
+        if self._alone == AloneRun(digest, target):
             self._alone = None
 
     def crashed(self, target: str, suspects: Collection[bytes], now: float) -> list[Verdict]:
@@ -125,12 +134,12 @@
             record = self._suspect(digest, now)
             if len(distinct) == 1 and record.crashes >= self._settings.crashes:
                 record.quarantined = True
-            self.end_alone(digest)
-        return [self._verdict(digest, now) for digest in sorted(distinct)]
+            self.end_alone(digest, target)
+        kept = sorted(distinct & self._record_by_digest.keys())
+        return [self._verdict(digest, now) for digest in kept]
 
     def innocent(self, digest: bytes) -> None:
         """Remove one suspicion, because the request was answered completely."""
-        self.end_alone(digest)
         record = self._record_by_digest.get(digest)
         if record is None or record.quarantined:
             return
