Count answers for and against the service level, and burn over windows

An entry counts by service, region and code since its start and keeps a latency histogram a service. A collector takes differences within one incarnation. Time of which nothing is known (no answer, a restart, counts that fell) is put down as missing with its reason; a window that lacks data over its last five minutes is unknown, never ok, while known bad answers still page.

--- /dev/null
+++ b/briarspur/windows.py
@@ -0,0 +1,268 @@
+"""Burn of a service's error budget over windows, from counts by time slot; pure.
+
+A slot holds what was counted in one minute. Data that is missing is kept as missing: it is shown as
+coverage, and a window that lacks data is never reported as good.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from briarspur.policy import Objective
+
+__all__ = [
+    "ALERT_RULES",
+    "HOUR_S",
+    "REPORT_WINDOWS",
+    "SIX_HOURS",
+    "SLOT_S",
+    "THREE_DAYS",
+    "AlertRule",
+    "ServiceBurn",
+    "Severity",
+    "Slot",
+    "Window",
+    "WindowBurn",
+    "burn_of",
+    "coalesce",
+    "sum_slots",
+]
+
+SLOT_S = 60
+MINUTE_S = 60
+HOUR_S = 3_600
+DAY_S = 86_400
+FULL_COVERAGE = 0.99
+
+
+class Severity(Enum):
+    """What an operator is asked to do."""
+
+    OK = "ok"
+    UNKNOWN = "unknown"
+    TICKET = "ticket"
+    PAGE = "page"
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A span of time that ends now; ``seconds`` long."""
+
+    name: str
+    seconds: int
+
+
+FIVE_MINUTES = Window("5 min", 5 * MINUTE_S)
+HALF_HOUR = Window("30 min", 30 * MINUTE_S)
+HOUR = Window("1 h", HOUR_S)
+SIX_HOURS = Window("6 h", 6 * HOUR_S)
+THREE_DAYS = Window("3 d", 3 * DAY_S)
+
+REPORT_WINDOWS = (FIVE_MINUTES, HALF_HOUR, HOUR, SIX_HOURS, THREE_DAYS)
+
+
+@dataclass(frozen=True, slots=True)
+class AlertRule:
+    """Fires while the burn rate is at or above ``rate`` over both windows.
+
+    The long window shows that it matters; the short one, that it still goes on.
+    """
+
+    severity: Severity
+    rate: float
+    long: Window
+    short: Window
+
+
+ALERT_RULES = (
+    AlertRule(Severity.PAGE, 14.4, HOUR, FIVE_MINUTES),
+    AlertRule(Severity.PAGE, 6.0, SIX_HOURS, HALF_HOUR),
+    AlertRule(Severity.TICKET, 1.0, THREE_DAYS, SIX_HOURS),
+)
+
+
+@dataclass(slots=True)
+class Slot:
+    """What was counted for one service in the minutes from ``start`` on.
+
+    Attributes
+    ----------
+    start : int
+        Unix time in seconds, a multiple of ``SLOT_S``.
+    minutes : int
+        How many minutes it sums; more than 1 only for hours long past.
+    expected_s, covered_s : float
+        Entry-seconds that there were, and those of which counts are known.
+    bad_by_region, bad_by_code, bad_by_entry : Counter
+        Bad answers by each key; codes by number.
+    missing : Counter
+        Reasons why entry-seconds are not covered, such as ``entry-7: no answer``, with how many.
+    """
+
+    start: int
+    minutes: int = 1
+    good: int = 0
+    bad: int = 0
+    expected_s: float = 0.0
+    covered_s: float = 0.0
+    bad_by_region: Counter[str] = field(default_factory=Counter)
+    bad_by_code: Counter[int] = field(default_factory=Counter)
+    bad_by_entry: Counter[str] = field(default_factory=Counter)
+    missing: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, slots=True)
+class WindowBurn:
+    """The burn over one window.
+
+    Attributes
+    ----------
+    rate : float or None
+        Share of bad answers over the share that the objective allows; 1 spends the budget exactly.
+        None if nothing was counted.
+    coverage : float
+        Part of the window's entry-seconds of which counts are known.
+    """
+
+    window: Window
+    good: int
+    bad: int
+    rate: float | None
+    coverage: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBurn:
+    """A service's burn.
+
+    Attributes
+    ----------
+    budget_left : float or None
+        Part of the bad answers allowed over the longest window that is not used up; negative if
+        overspent, None if nothing was counted.
+    worst_regions, worst_codes, worst_entries : tuple
+        Keys with their bad answers over the longest window, the worst first.
+    missing : tuple of (str, int)
+        Reasons for missing data, with the number of slots, the most frequent first.
+    """
+
+    service: str
+    objective: Objective
+    severity: Severity
+    fired: tuple[AlertRule, ...]
+    windows: tuple[WindowBurn, ...]
+    budget_left: float | None
+    worst_regions: tuple[tuple[str, int], ...]
+    worst_codes: tuple[tuple[int, int], ...]
+    worst_entries: tuple[tuple[str, int], ...]
+    missing: tuple[tuple[str, int], ...]
+
+
+def burn_of(service: str, objective: Objective, slots: Sequence[Slot], now: float) -> ServiceBurn:
+    """Return the burn of a service at the Unix time ``now``.
+
+    The minute that ``now`` is in has not ended and is left out.
+    """
+    end = int(now // SLOT_S) * SLOT_S
+    burns = {w.name: _window_burn(w, objective, slots, end) for w in REPORT_WINDOWS}
+    fired = tuple(rule for rule in ALERT_RULES if _fires(rule, burns))
+    whole = sum_slots(_within(slots, THREE_DAYS, end))
+    return ServiceBurn(
+        service=service,
+        objective=objective,
+        severity=_severity(fired, burns),
+        fired=fired,
+        windows=tuple(burns.values()),
+        budget_left=_budget_left(whole, objective),
+        worst_regions=tuple(whole.bad_by_region.most_common(5)),
+        worst_codes=tuple(whole.bad_by_code.most_common(5)),
+        worst_entries=tuple(whole.bad_by_entry.most_common(5)),
+        missing=tuple(whole.missing.most_common(10)),
+    )
+
+
+def sum_slots(slots: Iterable[Slot]) -> Slot:
+    """Return one slot with the sums of all; it starts with the first."""
+    total = Slot(0, minutes=0)
+    for slot in slots:
+        total.start = total.start or slot.start
+        total.minutes += slot.minutes
+        total.good += slot.good
+        total.bad += slot.bad
+        total.expected_s += slot.expected_s
+        total.covered_s += slot.covered_s
+        total.bad_by_region.update(slot.bad_by_region)
+        total.bad_by_code.update(slot.bad_by_code)
+        total.bad_by_entry.update(slot.bad_by_entry)
+        total.missing.update(slot.missing)
+    return total
+
+
+def coalesce(slots: Sequence[Slot], now: float) -> list[Slot]:
+    """Return the slots of the last six hours by minute and older ones by hour, three days in all.
+
+    Bounds what a reader holds: 360 and 72 slots a service instead of 4,320.
+    """
+    end = int(now // SLOT_S) * SLOT_S
+    recent = end - SIX_HOURS.seconds
+    by_hour: dict[int, list[Slot]] = {}
+    result = []
+    for slot in sorted(slots, key=lambda slot: slot.start):
+        if slot.start < end - THREE_DAYS.seconds:
+            continue
+        if slot.start >= recent:
+            result.append(slot)
+        else:
+            by_hour.setdefault(slot.start // HOUR_S, []).append(slot)
+    return [sum_slots(found) for _, found in sorted(by_hour.items())] + result
+
+
+def _within(slots: Sequence[Slot], window: Window, end: int) -> list[Slot]:
+    return [slot for slot in slots if end - window.seconds <= slot.start < end]
+
+
+def _window_burn(
+    window: Window, objective: Objective, slots: Sequence[Slot], end: int
+) -> WindowBurn:
+    total = sum_slots(_within(slots, window, end))
+    counted = total.good + total.bad
+    allowed = 1.0 - objective.good_share
+    rate = total.bad / counted / allowed if counted else None
+    return WindowBurn(window, total.good, total.bad, rate, _coverage(window, total))
+
+
+def _coverage(window: Window, total: Slot) -> float:
+    """Return the covered part of a window; a minute without a slot is not covered at all."""
+    if total.expected_s <= 0.0:
+        return 0.0
+    present = min(total.minutes * SLOT_S / window.seconds, 1.0)
+    return min(total.covered_s / total.expected_s, 1.0) * present
+
+
+def _fires(rule: AlertRule, burns: dict[str, WindowBurn]) -> bool:
+    long = burns[rule.long.name].rate
+    short = burns[rule.short.name].rate
+    return long is not None and short is not None and min(long, short) >= rule.rate
+
+
+def _severity(fired: Sequence[AlertRule], burns: dict[str, WindowBurn]) -> Severity:
+    """Return the gravest alert.
+
+    Guards against a quiet report while entries are silent: without full data over the shortest
+    window, "ok" cannot be known, so it is "unknown".
+    """
+    if any(rule.severity is Severity.PAGE for rule in fired):
+        return Severity.PAGE
+    if fired:
+        return Severity.TICKET
+    if burns[FIVE_MINUTES.name].coverage < FULL_COVERAGE:
+        return Severity.UNKNOWN
+    return Severity.OK
+
+
+def _budget_left(whole: Slot, objective: Objective) -> float | None:
+    counted = whole.good + whole.bad
+    if counted == 0:
+        return None
+    return 1.0 - whole.bad / (counted * (1.0 - objective.good_share))
--- /dev/null
+++ b/tests/test_levels.py
@@ -0,0 +1,110 @@
+"""Tests of the entry's counts and of their way into minutes."""
+
+import unittest
+
+from briarspur.codes import Code
+from briarspur.collect import Collector
+from briarspur.latency import decode, merge, new_histogram, quantile, subtract
+from briarspur.levels import Levels, LevelsDocument
+
+SERVICES = ["times"]
+
+
+def entry(name: str = "e1", incarnation: str = "a", started: float = 0.0) -> Levels:
+    levels = Levels(name, incarnation, "north-a", started)
+    levels.set_objectives({"times": 0.5})
+    return levels
+
+
+def report(levels: Levels, now: float) -> LevelsDocument:
+    return LevelsDocument.model_validate(levels.snapshot(now))
+
+
+class LevelsTest(unittest.TestCase):
+    """What counts as good, as bad and not at all."""
+
+    def test_late_and_refused_answers_are_bad_and_callers_faults_do_not_count(self) -> None:
+        levels = entry()
+        levels.record("times", "north", Code.ANSWERED, 0.5)
+        levels.record("times", "north", Code.ANSWERED, 0.6)
+        levels.record("times", "south", Code.REGION_FULL, 0.0)
+        levels.record("times", "north", Code.BODY_TOO_LARGE, 0.0)
+        levels.record("nowhere", "north", Code.ANSWERED, 0.0)
+        service = report(levels, 1.0).services["times"]
+        counts = {(c.region, c.code): (c.good, c.bad) for c in service.counts}
+        self.assertEqual(counts, {("north", 1000): (1, 1), ("south", 2101): (0, 1)})
+        self.assertEqual(decode(service.latency).get_total_count(), 2)
+
+    def test_histograms_are_merged_and_subtracted(self) -> None:
+        first, second = new_histogram(), new_histogram()
+        for value in range(1, 100):
+            first.record_value(value)
+            second.record_value(value * 1000)
+        both = merge([first, second])
+        self.assertEqual(both.get_total_count(), 198)
+        self.assertTrue(subtract(both, first).equals(second))
+        with self.assertRaises(ValueError):
+            subtract(first, second)
+        self.assertIsNone(quantile(new_histogram(), 0.99))
+        with self.assertRaises(ValueError):
+            decode("not a histogram")
+
+
+class CollectorTest(unittest.TestCase):
+    """Missing data is named and covers nothing."""
+
+    def setUp(self) -> None:
+        self.collector = Collector()
+
+    def test_the_first_answer_of_an_old_process_is_only_a_base(self) -> None:
+        levels = entry()
+        levels.record("times", "north", Code.ANSWERED, 0.1)
+        first = self.collector.take(1000.0, SERVICES, [report(levels, 900.0)], {})["times"].slot
+        self.assertEqual((first.good, first.covered_s), (0, 0.0))
+        levels.record("times", "north", Code.ANSWERED, 0.1)
+        counted = self.collector.take(1060.0, SERVICES, [report(levels, 960.0)], {})["times"]
+        self.assertEqual((counted.slot.good, counted.slot.covered_s), (1, 60.0))
+        self.assertEqual(counted.latency.get_total_count(), 1)
+        self.assertEqual(counted.slot.start, 960)
+
+    def test_a_restart_loses_the_last_counts_and_says_so(self) -> None:
+        # An entry is replaced between two readings. Its last counts are lost; the new process
+        # starts at zero. A difference across the two would be negative, or hide bad answers.
+        levels = entry()
+        for _ in range(50):
+            levels.record("times", "north", Code.OUTCOME_UNKNOWN, 0.1)
+        self.collector.take(1000.0, SERVICES, [report(levels, 30.0)], {})
+        fresh = entry(incarnation="b")
+        fresh.record("times", "north", Code.NO_TARGET, 0.1)
+        slot = self.collector.take(1060.0, SERVICES, [report(fresh, 20.0)], {})["times"].slot
+        self.assertEqual((slot.bad, slot.expected_s, slot.covered_s), (1, 60.0, 20.0))
+        self.assertIn("e1: restarted, its last counts are lost", slot.missing)
+
+    def test_an_entry_that_does_not_answer_covers_nothing(self) -> None:
+        levels = entry()
+        self.collector.take(1000.0, SERVICES, [report(levels, 30.0)], {})
+        slot = self.collector.take(1060.0, SERVICES, [], {"e1": "no answer"})["times"].slot
+        self.assertEqual((slot.expected_s, slot.covered_s), (60.0, 0.0))
+        levels.record("times", "north", Code.ANSWERED, 0.1)
+        slot = self.collector.take(1120.0, SERVICES, [report(levels, 150.0)], {})["times"].slot
+        self.assertEqual((slot.good, slot.covered_s), (1, 60.0))
+
+    def test_counts_that_fall_are_not_believed(self) -> None:
+        levels = entry()
+        levels.record("times", "north", Code.ANSWERED, 0.1)
+        self.collector.take(1000.0, SERVICES, [report(levels, 30.0)], {})
+        slot = self.collector.take(1060.0, SERVICES, [report(entry(), 90.0)], {})["times"].slot
+        self.assertEqual((slot.covered_s, slot.good), (60.0, 0))
+        levels.record("times", "north", Code.ANSWERED, 9.0)
+        self.collector.take(1120.0, SERVICES, [report(levels, 150.0)], {})
+        fallen = entry()
+        fallen.record("times", "north", Code.ANSWERED, 0.1)
+        slot = self.collector.take(1180.0, SERVICES, [report(fallen, 210.0)], {})["times"].slot
+        self.assertEqual((slot.covered_s, slot.good, slot.bad), (0.0, 0, 0))
+
+    def test_an_entry_that_is_gone_is_missed_once(self) -> None:
+        self.collector.take(1000.0, SERVICES, [report(entry(), 30.0)], {})
+        slot = self.collector.take(1060.0, SERVICES, [], {})["times"].slot
+        self.assertEqual(slot.missing["e1: gone, its last counts are lost"], 1)
+        slot = self.collector.take(1120.0, SERVICES, [], {})["times"].slot
+        self.assertEqual(slot.expected_s, 0.0)
