--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -195,6 +195,10 @@
     ----------
     dispatch_only : bool
         True if this entry is the key's home and the other shall only dispatch.
+    relay_refusals : bool
+        True if the other entry is the key's home: whatever it answers is passed on, also a refusal,
+        since it alone knows what became of the key. False: an answer with ``Briarspur-Ran: no`` is
+        reported as ``Failure.SHED``.
     """
 
     request_id: str
@@ -202,6 +206,7 @@
     entry: EntryAddress
     deadline: float
     dispatch_only: bool = False
+    relay_refusals: bool = False
     keep_answer: bool = False
     resume_at: int = 0
 
