--- a/briarspur/inflight.py
+++ b/briarspur/inflight.py
@@ -51,7 +51,9 @@
         """
         attempt = self._make(work, now)
         attempt.target_id = own.target.target_id
-        if work.alone and not self._quarantine.begin_alone(work.request.body_digest, now):
+        if work.alone and not self._quarantine.begin_alone(
+            work.request.body_digest, own.target.target_id, now
+        ):
             self._placement.account.release(work.deadline)
             self._unmake(work, attempt)
             return None
@@ -147,7 +149,7 @@
             targets = self._placement.targets_by_service[attempt.service]
             targets.ended(own, attempt.attempt_id)
             self._placement.account.release(work.deadline)
-            self._quarantine.end_alone(work.request.body_digest)
+            self._quarantine.end_alone(work.request.body_digest, own.target.target_id)
 
     def _crashed(self, own: OwnTarget, attempt: Attempt, now: float) -> None:
         # One crash breaks every connection to the target. Counting each as a crash would convict a
