--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,337 @@
+"""Several cores joined by a list of undelivered messages, with backend servers in memory.
+
+The driver of the randomised runs: messages are delivered, lost or left lying in any order; backend
+servers run, shed or lose requests; entries are killed, replaced and told of one another late. It
+keeps the ledgers that the promises are checked against.
+"""
+
+import hashlib
+import json
+import random
+from collections import Counter
+from dataclasses import dataclass, field, replace
+
+from briarspur.blocks import BlockTable
+from briarspur.codes import CODES, Code, Ran
+from briarspur.coord.keys import make_prefix
+from briarspur.core import Core
+from briarspur.members import MemberView
+from briarspur.messages import (
+    Abort,
+    Action,
+    Answer,
+    Begin,
+    Cancel,
+    Claim,
+    ClaimResult,
+    Dispatch,
+    Failure,
+    FetchOutcome,
+    Forward,
+    Refuse,
+    Reply,
+    Request,
+)
+from briarspur.policy import Policy, compile_policy, parse_policy
+from tests.bench import body, make_view
+from tests.examples import small_policy
+
+__all__ = ["World"]
+
+WALL = 1_800_000_000.0
+ENTRIES = 2
+REGIONS = ("north", "south")
+
+
+@dataclass(slots=True)
+class Hop:
+    """One request on its way to an entry, from a caller or from another entry."""
+
+    request: Request
+    to: str
+    sender: str | None = None
+    attempt_id: int = 0
+    relay: bool = False
+    sender_incarnation: str = ""
+
+
+@dataclass(slots=True)
+class Run:
+    """One request handed to a backend server."""
+
+    entry: str
+    incarnation: str
+    attempt_id: int
+    target: str
+    region: str
+    key: str | None
+    request_id: str
+    recorded: bool = False
+
+
+@dataclass(slots=True)
+class World:
+    """Entries, backend servers, callers and the messages between them."""
+
+    rng: random.Random
+    now: float = 0.0
+    cores: dict[str, Core] = field(default_factory=dict)
+    hops: list[Hop] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    ledger: Counter[str] = field(default_factory=Counter)
+    hop_by_request: dict[tuple[str, str], Hop] = field(default_factory=dict)
+    finals: dict[str, Code] = field(default_factory=dict)
+    open_calls: dict[str, str] = field(default_factory=dict)
+    key_by_call: dict[str, str] = field(default_factory=dict)
+    claims: dict[str, str] = field(default_factory=dict)
+    policy: Policy | None = None
+    processes: int = 0
+    calls: int = 0
+    steps: Counter[str] = field(default_factory=Counter)
+
+    def start(self) -> None:
+        """Start every entry with the same policy and view."""
+        document = parse_policy(json.dumps(small_policy(entries=ENTRIES)))
+        self.policy = compile_policy(document, version=1)
+        for entry_id in document.entries:
+            self.start_entry(entry_id)
+        self.tell_views()
+
+    def start_entry(self, entry_id: str) -> None:
+        """Start a new process of an entry, which knows nothing of the one before."""
+        assert self.policy is not None
+        self.processes += 1
+        region = REGIONS[(int(entry_id[-1]) - 1) // ENTRIES]
+        core = Core(entry_id, region, body(self.processes), self.rng, self.now)
+        table = BlockTable.from_prefixes(self.policy.default_home, self.policy.homes_by_prefix)
+        core.policy_accepted(self.policy, table.home, self.now)
+        self.cores[entry_id] = core
+
+    def true_view(self) -> MemberView:
+        """Return the view of one who sees every live process."""
+        full = make_view(ENTRIES, REGIONS).by_id
+        return MemberView(
+            {
+                entry_id: replace(full[entry_id], incarnation=core.keys.incarnation)
+                for entry_id, core in self.cores.items()
+            }
+        )
+
+    def tell_views(self, only: str | None = None) -> None:
+        """Let all entries, or one of them, see who is live now."""
+        view = self.true_view()
+        for entry_id, core in list(self.cores.items()):
+            if only in (None, entry_id):
+                self.carry_out(entry_id, core.view_changed(view, self.now))
+
+    def kill(self, entry_id: str) -> None:
+        """End a process at once; what it had handed to backend servers goes on there."""
+        self.steps["kill"] += 1
+        del self.cores[entry_id]
+        for hop in [h for h in self.hop_by_request.values() if h.to == entry_id]:
+            self._lose_hop(hop, Failure.LOST)
+
+    # Callers
+
+    def call(self, entry_id: str, key: str | None, number: int, block: int = 1) -> str:
+        """Let a caller send a request to an entry."""
+        self.calls += 1
+        call = f"c{self.calls}"
+        method, path = ("POST", f"/booking/{key}") if key else ("GET", f"/times/{number}")
+        digest = hashlib.sha256(f"{method} {path}".encode()).digest()
+        request = Request(call, method, path, key, digest, block, self.now + 60.0)
+        self.open_calls[call] = entry_id
+        if key:
+            self.key_by_call[call] = key
+        self.hops.append(Hop(request, entry_id))
+        return call
+
+    def new_key(self, entry_id: str) -> str | None:
+        """Return a key as a look-up that names this entry first would hand it out."""
+        core = self.cores.get(entry_id)
+        if core is None:
+            return None
+        prefix = make_prefix(core.keys.incarnation, int(WALL + self.now) + 200)
+        return f"{prefix}.call-{self.calls:08d}"
+
+    def _final(self, call: str, code: Code) -> None:
+        assert call not in self.finals, f"{call} answered twice: {self.finals[call]!r}, {code!r}"
+        self.finals[call] = code
+        self.open_calls.pop(call, None)
+        key = self.key_by_call.get(call)
+        if key is not None and CODES[code].ran is Ran.NO:
+            running = [r for r in self.runs if r.key == key and not r.recorded]
+            assert not self.ledger[key] and not running, f"{code!r} but {key} ran or runs"
+
+    # Messages
+
+    def deliver(self, index: int) -> None:
+        """Deliver one undelivered message; its receiver may be gone or replaced."""
+        hop = self.hops.pop(index % len(self.hops))
+        core = self.cores.get(hop.to)
+        if core is None:
+            self._lose_hop(hop, Failure.NOT_SENT)
+            return
+        self.steps["deliver"] += 1
+        self.hop_by_request[hop.to, hop.request.request_id] = hop
+        self.carry_out(hop.to, core.request_arrived(hop.request, self.now, WALL + self.now))
+
+    def drop(self, index: int) -> None:
+        """Lose a message, or the connection it was sent on."""
+        self.steps["drop"] += 1
+        self._lose_hop(self.hops.pop(index % len(self.hops)), Failure.LOST)
+
+    def _lose_hop(self, hop: Hop, failure: Failure) -> None:
+        self.hop_by_request.pop((hop.to, hop.request.request_id), None)
+        if hop.sender is None:
+            # The caller sees its connection break; what it may conclude is nothing at all.
+            self.open_calls.pop(hop.request.request_id, None)
+            return
+        self._tell_sender(hop, failure)
+
+    def _tell_sender(self, hop: Hop, failure: Failure) -> None:
+        core = self.cores.get(hop.sender or "")
+        if core is not None and core.keys.incarnation == hop.sender_incarnation:
+            self.carry_out(core.me, core.attempt_failed(hop.attempt_id, failure, self.now))
+
+    # Backend servers
+
+    def finish_run(self, index: int, outcome: str) -> None:
+        """Let a backend server finish a run: ``answer``, ``shed``, ``lost`` or ``crash``."""
+        run = self.runs[index % len(self.runs)]
+        self.steps[f"run-{outcome}"] += 1
+        ran = outcome in ("answer", "lost-after")
+        if ran and run.key is not None and not run.recorded:
+            self.ledger[run.key] += 1
+        run.recorded = run.recorded or ran
+        self.runs.remove(run)
+        core = self.cores.get(run.entry)
+        if core is None or core.keys.incarnation != run.incarnation:
+            return
+        if outcome == "answer":
+            self.carry_out(run.entry, core.answer_began(run.attempt_id, 200, self.now))
+            answer = Answer(200, (), b"done") if run.key else None
+            self.carry_out(run.entry, core.answer_ended(run.attempt_id, answer, 4, self.now))
+            return
+        failure = Failure.SHED if outcome == "shed" else Failure.LOST
+        crashed = outcome == "crash"
+        actions = core.attempt_failed(run.attempt_id, failure, self.now, crashed=crashed)
+        self.carry_out(run.entry, actions)
+
+    # Actions
+
+    def carry_out(self, entry_id: str, actions: list[Action]) -> None:
+        """Carry out what a core decided."""
+        for action in actions:
+            self._carry_out(entry_id, action)
+
+    def _carry_out(self, entry_id: str, action: Action) -> None:
+        core = self.cores[entry_id]
+        match action:
+            case Dispatch():
+                self._dispatch(core, action)
+            case Forward():
+                self._forward(core, action)
+            case Refuse() | Abort():
+                self._answer_hop(entry_id, action.request_id, action.refusal.code, None)
+            case Reply():
+                self._answer_hop(entry_id, action.request_id, action.code, action.answer)
+            case Begin():
+                self._answer_hop(
+                    entry_id, action.request_id, Code.ANSWERED, Answer(200, (), b"done")
+                )
+            case Claim():
+                self._claim(core, action)
+            case FetchOutcome():
+                done = core.outcome_fetched(action.request_id, False, None, self.now)
+                self.carry_out(entry_id, done)
+            case Cancel():
+                pass
+
+    def _dispatch(self, core: Core, action: Dispatch) -> None:
+        hop = self.hop_by_request.get((core.me, action.request_id))
+        key = hop.request.key if hop else self.key_by_call.get(action.request_id)
+        self.runs.append(
+            Run(
+                core.me,
+                core.keys.incarnation,
+                action.attempt_id,
+                action.target.target_id,
+                action.region,
+                key,
+                action.request_id,
+            )
+        )
+
+    def _forward(self, core: Core, action: Forward) -> None:
+        hop = self.hop_by_request[core.me, action.request_id]
+        request = replace(
+            hop.request,
+            request_id=f"{core.me}-{core.keys.incarnation[-4:]}-{action.attempt_id}",
+            forwarded_by=core.me,
+            dispatch_only=action.dispatch_only,
+            deadline=action.deadline,
+        )
+        self.hops.append(
+            Hop(
+                request,
+                action.entry.entry_id,
+                core.me,
+                action.attempt_id,
+                action.relay_refusals,
+                core.keys.incarnation,
+            )
+        )
+
+    def _claim(self, core: Core, action: Claim) -> None:
+        holder = self.claims.setdefault(action.key, core.keys.incarnation)
+        ours = holder == core.keys.incarnation
+        result = ClaimResult.OURS if ours else ClaimResult.TAKEN
+        self.carry_out(core.me, core.claim_settled(action.request_id, result, self.now))
+
+    def _answer_hop(
+        self, entry_id: str, request_id: str, code: Code, answer: Answer | None
+    ) -> None:
+        hop = self.hop_by_request.pop((entry_id, request_id), None)
+        if hop is None:
+            return
+        if hop.sender is None:
+            self._final(request_id, code)
+            return
+        core = self.cores.get(hop.sender)
+        if core is None or core.keys.incarnation != hop.sender_incarnation:
+            return
+        if answer is not None or hop.relay:
+            self._relay(core, hop, code, answer)
+            return
+        ran = CODES[code].ran
+        failure = Failure.SHED if ran is Ran.NO else Failure.LOST
+        self.carry_out(core.me, core.attempt_failed(hop.attempt_id, failure, self.now))
+
+    def _relay(self, core: Core, hop: Hop, code: Code, answer: Answer | None) -> None:
+        """Pass an answer, or the refusal of a key's home, on to the caller of the first entry."""
+        began = core.answer_began(hop.attempt_id, 200, self.now)
+        for action in began:
+            if isinstance(action, Begin):
+                relayed = answer or Answer(503, (), b"")
+                self._answer_hop(core.me, action.request_id, code, relayed)
+        done = core.answer_ended(hop.attempt_id, answer, 4, self.now)
+        self.carry_out(core.me, done)
+
+    # Time
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass; every live entry looks at what waits."""
+        self.now += seconds
+        for entry_id, core in list(self.cores.items()):
+            self.carry_out(entry_id, core.tick(self.now, WALL + self.now))
+
+    def in_flight(self, region: str) -> int:
+        """Return how many requests run for live processes in a region."""
+        return sum(
+            1
+            for run in self.runs
+            if run.region == region
+            and run.entry in self.cores
+            and self.cores[run.entry].keys.incarnation == run.incarnation
+        )
