Carry requests over HTTP: callers, backend servers and other entries

The shells around the decision core: a server with bounds on what a caller may cost, a client that knows whether any byte of a request was handed over, and a carrier that holds open requests and carries out the core's actions in order. A body is kept in memory only, a short body never counts as whole, and a caller that reads slowly makes the backend server wait.

--- /dev/null
+++ b/briarspur/interfaces.py
@@ -0,0 +1,83 @@
+"""What a carrier of requests needs around it: a sender, a clock, the key store, pacing of links."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from briarspur.backend import Attempt, AttemptEvents, Outgoing
+from briarspur.messages import Answer, ClaimResult, Priority
+
+__all__ = [
+    "Clock",
+    "DelayedCall",
+    "FetchedOutcome",
+    "KeyStore",
+    "LinkPacer",
+    "NoPacing",
+    "Sender",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class FetchedOutcome:
+    """What a gone incarnation left about a key; ``answer`` is None if it was not kept."""
+
+    found: bool
+    answer: Answer | None = None
+
+
+class KeyStore(Protocol):
+    """The object store as keys need it."""
+
+    async def claim(self, key: str, body_digest: bytes) -> ClaimResult:
+        """Claim a foreign key."""
+
+    async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
+        """Read what a gone incarnation recorded about a key."""
+
+
+class LinkPacer(Protocol):
+    """The byte rate of links."""
+
+    def take(self, region: str, priority: Priority, size: int, now: float) -> float:
+        """Account for ``size`` bytes of a region's link; return the seconds to pause."""
+
+
+class NoPacing:
+    """Links without a limit."""
+
+    def take(self, region: str, priority: Priority, size: int, now: float) -> float:
+        """Never pause."""
+        return 0.0
+
+
+class Sender(Protocol):
+    """What sends requests; :class:`briarspur.backend.BackendClient` in a daemon."""
+
+    def send(self, outgoing: Outgoing, events: AttemptEvents) -> Attempt:
+        """Send a request."""
+
+
+class DelayedCall(Protocol):
+    """A call that is due later."""
+
+    def getTime(self) -> float:  # noqa: N802
+        """Return when it is due, in seconds on the clock."""
+
+    def reset(self, seconds: float) -> None:
+        """Make it due ``seconds`` from now."""
+
+    def cancel(self) -> None:
+        """Never make it."""
+
+
+class Clock(Protocol):
+    """Monotonic time and delayed calls; the reactor in a daemon."""
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., object], *args: object, **kw: object
+    ) -> DelayedCall:
+        """Call after a delay in seconds."""
--- /dev/null
+++ b/briarspur/server.py
@@ -0,0 +1,214 @@
+"""The HTTP servers of an entry: for callers, and for requests that other entries send on."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+from twisted.web.http import HTTPChannel
+
+from briarspur import logs
+from briarspur.channel import ChannelClock, ChannelFactory
+from briarspur.codes import Code
+from briarspur.exchange import Arrivals, Exchange
+from briarspur.inbound import read_forwarded, read_lookup, read_request
+from briarspur.messages import Answer, Refusal
+from briarspur.metrics import Metrics
+from briarspur.settings import LimitSettings
+
+__all__ = ["EntryServer", "Lookup", "ServerSettings", "StatusPages"]
+
+Lookup = Callable[[str, int], Result[bytes, Refusal]]
+"""Answers a look-up for a service and a block of clients with a JSON document."""
+
+LOOKUP_PATH = b"/v1/lookup"
+NOT_READY_RETRY_AFTER = 1.0
+BACKLOG = 1_024
+STATUS_PATHS = frozenset({b"/healthz", b"/readyz", b"/status"})
+
+
+class StatusPages(Protocol):
+    """What an entry says of itself."""
+
+    def is_ready(self) -> bool:
+        """Return whether callers may come."""
+
+    def status(self) -> dict[str, object]:
+        """Return the fields of the status page."""
+
+
+class PortAddress(Protocol):
+    """The address of a listening port."""
+
+    port: int
+
+
+class ListeningPort(Protocol):
+    """A port that is listened to."""
+
+    def getHost(self) -> PortAddress:  # noqa: N802
+        """Return the address."""
+
+    def stopListening(self) -> object:  # noqa: N802
+        """Take no new connections."""
+
+
+class PortReactor(ChannelClock, Protocol):
+    """The part of Twisted's reactor used here."""
+
+    def listenTCP(  # noqa: N802
+        self, port: int, factory: ChannelFactory, backlog: int = 50, interface: str = ""
+    ) -> ListeningPort:
+        """Listen on a port."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """What a server needs to know.
+
+    Attributes
+    ----------
+    incarnation : str
+        Random id of this process, the first part of each request id.
+    """
+
+    incarnation: str
+    limits: LimitSettings
+
+
+class EntryServer:
+    """Listens for callers and for other entries."""
+
+    def __init__(
+        self,
+        reactor: "PortReactor",
+        arrivals: Arrivals,
+        lookup: Lookup,
+        pages: StatusPages,
+        metrics: Metrics,
+        settings: ServerSettings,
+    ) -> None:
+        self.arrivals = arrivals
+        self.lookup = lookup
+        self.pages = pages
+        self.clock: ChannelClock = reactor
+        self._reactor = reactor
+        self._metrics = metrics
+        self._settings = settings
+        self._last_number = 0
+        self._ports: list[ListeningPort] = []
+        self._callers = self._factory(CallerRequest)
+        self._entries = self._factory(ForwardedRequest)
+
+    def listen(self, host: str, caller_port: int, forward_port: int) -> tuple[int, int]:
+        """Listen on both ports; return their numbers, chosen by the system where 0 was given."""
+        for number, factory in ((caller_port, self._callers), (forward_port, self._entries)):
+            self._ports.append(self._reactor.listenTCP(number, factory, BACKLOG, host))
+        caller, forward = (port.getHost().port for port in self._ports)
+        return caller, forward
+
+    async def close(self) -> None:
+        """Take no new connections; those that wait for an answer get it."""
+        for port in self._ports:
+            port.stopListening()
+        self._ports.clear()
+        for factory in (self._callers, self._entries):
+            factory.close_idle()
+            factory.stop_sweeping()
+
+    def next_request_id(self) -> str:
+        """Return an id that no other request of any entry has."""
+        self._last_number += 1
+        return f"{self._settings.incarnation}-{self._last_number:x}"
+
+    def refused(self, refusal: Refusal) -> None:
+        """Count and log a request that was refused before it came whole."""
+        self._metrics.count("answers", refusal.code.name)
+        logs.event("refused", code=int(refusal.code), code_name=refusal.code.name)
+
+    def _factory(self, kind: "type[CallerRequest | ForwardedRequest]") -> ChannelFactory:
+        def make(channel: HTTPChannel, queued: object) -> Exchange:
+            return kind(channel, self)
+
+        return ChannelFactory(
+            self.clock, self._settings.limits, make, self.next_request_id, self.refused
+        )
+
+
+class CallerRequest(Exchange):
+    """A request on the port for callers."""
+
+    def __init__(self, channel: HTTPChannel, server: EntryServer) -> None:
+        super().__init__(channel, server)
+        self._server = server
+
+    def process(self) -> None:
+        """Answer a look-up or a status page; carry anything else."""
+        server = self._server
+        self.request_id = server.next_request_id()
+        path, _, query = self.uri.partition(b"?")
+        if path == LOOKUP_PATH and self.method == b"GET":
+            self._look_up(query)
+            return
+        if path in STATUS_PATHS and self.method == b"GET":
+            self._show(path)
+            return
+        if not server.pages.is_ready():
+            self.refuse(Refusal(Code.NOT_READY, retry_after=NOT_READY_RETRY_AFTER))
+            return
+        raw = self.raw()
+        if raw is None:
+            self.refuse(Refusal(Code.BAD_REQUEST, "the caller has no IP number"))
+            return
+        self.carry(raw, read_request(raw, self.request_id, server.clock.seconds()))
+
+    def _look_up(self, query: bytes) -> None:
+        """Answer a look-up, past Twisted's header objects: they would take half of its time."""
+        service, block = read_lookup(query, self.client.host)
+        if block is None:
+            self._refuse_lookup(Refusal(Code.BAD_REQUEST, "malformed look-up"))
+            return
+        found = self._server.lookup(service, block)
+        if found.is_error():
+            self._refuse_lookup(found.error)
+            return
+        body = found.ok
+        close = b"" if self.channel.persistent else b"Connection: close\r\n"
+        self.startedWriting = 1
+        self.channel.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nBriarspur-Code: 1000\r\n"
+            b"Briarspur-Request-Id: %b\r\n%bContent-Length: %d\r\n\r\n%b"
+            % (self.request_id.encode(), close, len(body), body)
+        )
+        self.finish()
+
+    def _refuse_lookup(self, refusal: Refusal) -> None:
+        self._server.refused(refusal)
+        self.refuse(refusal)
+
+    def _show(self, path: bytes) -> None:
+        pages = self._server.pages
+        if path == b"/readyz" and not pages.is_ready():
+            self.refuse(Refusal(Code.NOT_READY, retry_after=NOT_READY_RETRY_AFTER))
+            return
+        shown = pages.status() if path == b"/status" else {"ok": True}
+        body = json.dumps(shown).encode() + b"\n"
+        self.reply(Answer(200, ((b"Content-Type", b"application/json"),), body), Code.ANSWERED)
+
+
+class ForwardedRequest(Exchange):
+    """A request on the port for other entries."""
+
+    def __init__(self, channel: HTTPChannel, server: EntryServer) -> None:
+        super().__init__(channel, server)
+        self._server = server
+
+    def process(self) -> None:
+        """Carry the request."""
+        self.request_id = self._server.next_request_id()
+        raw = self.raw()
+        if raw is None:
+            self.refuse(Refusal(Code.BAD_REQUEST, "the sender has no IP number"))
+            return
+        self.carry(raw, read_forwarded(raw, self._server.clock.seconds()))
--- /dev/null
+++ b/tests/test_backend.py
@@ -0,0 +1,204 @@
+"""Tests of the client side and of how answers are carried back to callers."""
+
+import asyncio
+import socket
+
+from briarspur.backend import AnswerHead, Attempt, AttemptError, BackendClient, Outgoing
+from briarspur.messages import Failure
+from tests.fakes import HOST, Connection, RawBackend
+from tests.loop import REACTOR, LoopTestCase, eventually, fired
+
+CHUNK = b"x" * 65_536
+
+
+class Recorder:
+    """Events of one attempt, and the attempt itself."""
+
+    def __init__(self) -> None:
+        self.head: AnswerHead | None = None
+        self.body = b""
+        self.ended = False
+        self.failed: AttemptError | None = None
+        self.attempt: Attempt | None = None
+
+    def head_received(self, head: AnswerHead) -> None:
+        self.head = head
+        assert self.attempt is not None
+        self.attempt.start_body()
+
+    def data_received(self, data: bytes) -> None:
+        self.body += data
+
+    def body_ended(self) -> None:
+        self.ended = True
+
+    def attempt_failed(self, failed: AttemptError) -> None:
+        self.failed = failed
+
+    def is_over(self) -> bool:
+        return self.ended or self.failed is not None
+
+
+def outgoing(port: int, method: bytes = b"GET", body: bytes = b"", most_open: int = 9) -> Outgoing:
+    from twisted.web.http_headers import Headers
+
+    return Outgoing(HOST, port, method, b"/times/", Headers(), body, most_open)
+
+
+async def send(client: BackendClient, request: Outgoing) -> Recorder:
+    """Send a request and wait for its end."""
+    recorder = Recorder()
+    recorder.attempt = client.send(request, recorder)
+    await eventually(recorder.is_over)
+    return recorder
+
+
+class ProofTest(LoopTestCase):
+    """Only what surely was not sent is called so."""
+
+    def failure(self, script: object, method: bytes = b"GET") -> AttemptError:
+        async def work() -> AttemptError:
+            client = BackendClient(REACTOR)
+            async with RawBackend(script) as backend:  # type: ignore[arg-type]
+                recorder = await send(client, outgoing(backend.port, method))
+            await fired(client.close())
+            self.assertFalse(recorder.ended)
+            assert recorder.failed is not None
+            return recorder.failed
+
+        return self.run_on_loop(work())
+
+    def test_refused_connection_is_not_sent(self) -> None:
+        async def work() -> Recorder:
+            with socket.socket() as closed:
+                closed.bind((HOST, 0))
+                return await send(BackendClient(REACTOR), outgoing(closed.getsockname()[1]))
+
+        recorder = self.run_on_loop(work())
+        assert recorder.failed is not None
+        self.assertIs(recorder.failed.failure, Failure.NOT_SENT)
+        self.assertTrue(recorder.failed.crashed)
+        assert recorder.attempt is not None
+        self.assertFalse(recorder.attempt.handed_over)
+
+    def test_connect_timeout_is_not_sent(self) -> None:
+        async def work() -> Recorder:
+            with socket.socket() as full:
+                full.bind((HOST, 0))
+                full.listen(0)
+                port = full.getsockname()[1]
+                fillers = [socket.socket() for _ in range(4)]
+                for filler in fillers:
+                    filler.setblocking(False)
+                    filler.connect_ex((HOST, port))
+                recorder = await send(BackendClient(REACTOR, 0.05), outgoing(port))
+                for filler in fillers:
+                    filler.close()
+                return recorder
+
+        recorder = self.run_on_loop(work())
+        assert recorder.failed is not None
+        self.assertIs(recorder.failed.failure, Failure.NOT_SENT)
+        self.assertFalse(recorder.failed.crashed)
+
+    def test_connections_of_a_target_are_bounded(self) -> None:
+        async def work() -> None:
+            async def silent(connection: Connection, head: bytes) -> None:
+                await asyncio.sleep(60)
+
+            client = BackendClient(REACTOR)
+            async with RawBackend(silent) as backend:
+                first = Recorder()
+                first.attempt = client.send(outgoing(backend.port, most_open=1), first)
+                second = await send(client, outgoing(backend.port, most_open=1))
+                assert second.failed is not None
+                self.assertIs(second.failed.failure, Failure.NOT_SENT)
+                await eventually(lambda: len(backend.heads) == 1)
+                first.attempt.cancel()
+                self.assertEqual(client.open_requests(), 0)
+
+        self.run_on_loop(work())
+
+    def test_reset_after_the_request_is_lost(self) -> None:
+        async def reset(connection: Connection, head: bytes) -> None:
+            connection.writer.transport.abort()
+
+        failed = self.failure(reset)
+        self.assertIs(failed.failure, Failure.LOST)
+        self.assertTrue(failed.crashed)
+
+    def test_garbage_in_place_of_an_answer_is_lost(self) -> None:
+        async def garbage(connection: Connection, head: bytes) -> None:
+            connection.send(b"what\r\n\r\n")
+
+        self.assertIs(self.failure(garbage).failure, Failure.LOST)
+
+    def test_kept_connection_closed_after_the_request_is_lost_not_repeated(self) -> None:
+        """A passenger confirms a booking, and two boats come.
+
+        The backend server reads the booking from a kept connection, records it, and closes the
+        connection without an answer. Twisted's pool would send some methods again by itself on a
+        new connection; the second sending is recorded as well, and nothing shows it.
+        """
+        for method in (b"POST", b"GET", b"DELETE"):
+            with self.subTest(method=method):
+                self._closed_kept_connection(method)
+
+    def _closed_kept_connection(self, method: bytes) -> None:
+        async def work() -> None:
+            async def answer_once(connection: Connection, head: bytes) -> None:
+                if len(backend.heads) == 1:
+                    connection.send_answer(b"first")
+                else:
+                    connection.writer.close()
+
+            client = BackendClient(REACTOR)
+            async with RawBackend(answer_once) as backend:
+                first = await send(client, outgoing(backend.port))
+                self.assertEqual(first.body, b"first")
+                second = await send(client, outgoing(backend.port, method))
+                assert second.failed is not None
+                self.assertIs(second.failed.failure, Failure.LOST)
+                self.assertEqual(len(backend.heads), 2)
+                self.assertEqual(len(backend.connections), 1)
+            await fired(client.close())
+
+        self.run_on_loop(work())
+
+
+class WholeAnswerTest(LoopTestCase):
+    """A body that ends short never counts as whole."""
+
+    def body(self, *parts: bytes) -> Recorder:
+        async def work() -> Recorder:
+            async def script(connection: Connection, head: bytes) -> None:
+                for part in parts:
+                    connection.send(part)
+                connection.writer.close()
+
+            async with RawBackend(script) as backend:
+                return await send(BackendClient(REACTOR), outgoing(backend.port))
+
+        return self.run_on_loop(work())
+
+    def expect_cut(self, *parts: bytes) -> None:
+        recorder = self.body(*parts)
+        self.assertFalse(recorder.ended)
+        assert recorder.failed is not None
+        self.assertIs(recorder.failed.failure, Failure.CUT_SHORT)
+
+    def test_short_body_is_cut(self) -> None:
+        self.expect_cut(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", b"short")
+
+    def test_unfinished_chunks_are_cut(self) -> None:
+        self.expect_cut(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"5\r\nshort\r\n")
+
+    def test_body_without_a_length_cannot_be_told_from_a_cut_one(self) -> None:
+        self.expect_cut(b"HTTP/1.1 200 OK\r\n\r\n", b"who knows")
+
+    def test_whole_bodies(self) -> None:
+        whole = self.body(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", b"whole")
+        self.assertEqual((whole.body, whole.ended), (b"whole", True))
+        chunks = b"5\r\nwhole\r\n0\r\n\r\n"
+        whole = self.body(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunks)
+        self.assertEqual((whole.body, whole.ended), (b"whole", True))
--- /dev/null
+++ b/tests/test_carry.py
@@ -0,0 +1,238 @@
+"""Tests of how requests are carried: answers, failures and callers that leave."""
+
+import asyncio
+import json
+
+from briarspur.messages import Failure
+from briarspur.settings import LimitSettings
+from tests.fakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
+from tests.loop import LoopTestCase, eventually
+
+CHUNK = b"x" * 65_536
+
+
+async def silent(connection: Connection, head: bytes) -> None:
+    await asyncio.sleep(60)
+
+
+async def short(connection: Connection, head: bytes) -> None:
+    connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort")
+    connection.writer.close()
+
+
+async def shed(connection: Connection, head: bytes) -> None:
+    connection.send_answer(b"busy", b"503 Busy", b"Request-Not-Run: true\r\nRetry-After: 3\r\n")
+
+
+class FailureTest(LoopTestCase):
+    """What a caller sees of an attempt that fails."""
+
+    def read(self, script: object, core: DirectCore) -> Read:
+        async def work() -> Read:
+            async with RawBackend(script) as backend:  # type: ignore[arg-type]
+                core.target = backend.address
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    read = await caller.get(b"/times/")
+                    await eventually(lambda: front.carrier.open_requests == 0)
+                    return read
+
+        return self.run_on_loop(work())
+
+    def test_shed_is_told_as_not_run(self) -> None:
+        core = DirectCore(None)  # type: ignore[arg-type]
+        read = self.read(shed, core)
+        self.assertEqual(json.loads(read.body)["ran"], "no")
+        self.assertEqual(read.headers[b"retry-after"], b"3")
+        self.assertEqual(core.events, [("failed", Failure.SHED, 3.0, 0, False, False)])
+
+    def test_plain_503_is_an_answer(self) -> None:
+        async def unavailable(connection: Connection, head: bytes) -> None:
+            connection.send_answer(b"busy", b"503 Busy")
+
+        core = DirectCore(None)  # type: ignore[arg-type]
+        read = self.read(unavailable, core)
+        self.assertEqual((read.status, read.headers[b"briarspur-ran"]), (503, b"yes"))
+
+    def test_short_body_cuts_the_caller(self) -> None:
+        """A chart pack that ends half-way must not look complete to the harbour office.
+
+        The backend server dies during the download. The caller's connection is reset, so that its
+        own check of the length fails.
+        """
+        core = DirectCore(None)  # type: ignore[arg-type]
+        read = self.read(short, core)
+        self.assertTrue(read.cut)
+        self.assertEqual(core.events[-1], ("failed", Failure.CUT_SHORT, None, 5, False, True))
+
+    def test_short_answer_that_is_kept_is_refused_whole(self) -> None:
+        core = DirectCore(None, keep_answer=True)  # type: ignore[arg-type]
+        read = self.read(short, core)
+        self.assertEqual(json.loads(read.body)["name"], "OUTCOME_UNKNOWN")
+        self.assertEqual(core.events, [("failed", Failure.CUT_SHORT, None, 0, False, True)])
+
+    def test_answer_that_is_not_begun_is_dropped(self) -> None:
+        async def work() -> None:
+            async def late(connection: Connection, head: bytes) -> None:
+                connection.send_answer(b"late")
+
+            async with RawBackend(late) as backend:
+                core = DirectCore(backend.address, pass_on=False)
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    read = await caller.get(b"/times/")
+                    self.assertEqual(read.status, 502)
+                    self.assertNotIn(b"late", read.body)
+                    self.assertEqual(core.events, [("began", 200)])
+                    self.assertEqual(front.client.open_requests(), 0)
+
+        self.run_on_loop(work())
+
+    def test_cut_download_is_resumed(self) -> None:
+        """A backend server dies during a download, and the architect notices nothing.
+
+        The first server sends half of a file with a strong entity tag. The rest is asked for by
+        Range and If-Range, and the caller reads one whole body.
+        """
+
+        async def work() -> Read:
+            tag = b'ETag: "v1"\r\nAccept-Ranges: bytes\r\n'
+
+            async def die_once(connection: Connection, head: bytes) -> None:
+                if len(backend.heads) == 1:
+                    connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + tag)
+                    connection.send(b"\r\n01234")
+                    connection.writer.close()
+                else:
+                    part = tag + b"Content-Range: bytes 5-9/10\r\n"
+                    connection.send_answer(b"56789", b"206 Partial Content", part)
+
+            async with RawBackend(die_once) as backend:
+                core = DirectCore(backend.address, resume=True)
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    read = await caller.get(b"/times/")
+            self.assertIn(b"range: bytes=5-", backend.heads[1].lower())
+            self.assertIn(b'if-range: "v1"', backend.heads[1].lower())
+            return read
+
+        read = self.run_on_loop(work())
+        self.assertEqual((read.status, read.body, read.cut), (200, b"0123456789", False))
+
+    def test_rest_of_another_file_is_not_joined(self) -> None:
+        """A plan set is replaced between two halves of a download.
+
+        Joined, the halves would be a file of the right length that was never published. The
+        second server answers with another entity tag, so the caller's connection is cut.
+        """
+
+        async def work() -> Read:
+            async def replaced(connection: Connection, head: bytes) -> None:
+                tag = b'ETag: "v%d"\r\nAccept-Ranges: bytes\r\n' % len(backend.heads)
+                if len(backend.heads) == 1:
+                    connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + tag)
+                    connection.send(b"\r\n01234")
+                    connection.writer.close()
+                else:
+                    part = tag + b"Content-Range: bytes 5-9/10\r\n"
+                    connection.send_answer(b"56789", b"206 Partial Content", part)
+
+            async with RawBackend(replaced) as backend:
+                core = DirectCore(backend.address, resume=True)
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    return await caller.get(b"/times/")
+
+        self.assertTrue(self.run_on_loop(work()).cut)
+
+
+class LeavingCallerTest(LoopTestCase):
+    """A caller that leaves cancels what may be cancelled."""
+
+    def test_idempotent_request_is_cancelled(self) -> None:
+        async def work() -> None:
+            async with RawBackend(silent) as backend:
+                core = DirectCore(backend.address)
+                async with Front(core) as front:
+                    async with RawCaller(front.caller_port) as caller:
+                        caller.writer.write(b"GET /times/ HTTP/1.1\r\n\r\n")
+                        await eventually(lambda: bool(backend.heads))
+                    await eventually(lambda: front.carrier.open_requests == 0)
+                    self.assertEqual(front.client.open_requests(), 0)
+            self.assertEqual(core.events, [("gone",)])
+
+        self.run_on_loop(work())
+
+    def test_once_only_request_runs_on_and_is_recorded(self) -> None:
+        """A skipper's telephone loses its connection while a booking is written.
+
+        The booking must run to its end, and its answer must be kept for the skipper's repeat.
+        """
+
+        async def work() -> None:
+            go_on = asyncio.Event()
+
+            async def booking(connection: Connection, head: bytes) -> None:
+                await go_on.wait()
+                connection.send_answer(b"booked")
+
+            async with RawBackend(booking) as backend:
+                core = DirectCore(backend.address, keep_answer=True, stays_after_caller=True)
+                async with Front(core) as front:
+                    async with RawCaller(front.caller_port) as caller:
+                        caller.writer.write(b"POST /booking/ HTTP/1.1\r\n\r\n")
+                        await eventually(lambda: bool(backend.heads))
+                    await eventually(lambda: ("gone",) in core.events)
+                    go_on.set()
+                    await eventually(lambda: front.carrier.open_requests == 0)
+            self.assertEqual(core.events[-1], ("ended", b"booked", 6))
+
+        self.run_on_loop(work())
+
+
+class BackpressureTest(LoopTestCase):
+    """A caller that reads slowly makes the backend server wait; nothing piles up here."""
+
+    def test_slow_reader_pauses_the_backend_server(self) -> None:
+        """Ten harbour offices fetch chart packs over slow links, and the entry's memory is full.
+
+        Without backpressure the entry reads each pack at the backend's speed and keeps what its
+        caller has not read. The sum over all sockets' buffers bounds what may be under way here.
+        """
+
+        async def work() -> int:
+            sent = 0
+
+            async def large(connection: Connection, head: bytes) -> None:
+                nonlocal sent
+                connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n")
+                for _ in range(1_024):
+                    connection.send(CHUNK)
+                    await connection.writer.drain()
+                    sent += len(CHUNK)
+
+            async with RawBackend(large) as backend:
+                core = DirectCore(backend.address)
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    caller.writer.write(b"GET /times/ HTTP/1.1\r\n\r\n")
+                    before = -1
+                    while sent != before:
+                        before = sent
+                        await asyncio.sleep(0.2)
+                    stalled_at = sent
+                    read = await caller.read()
+            self.assertEqual((len(read.body), read.cut), (67_108_864, False))
+            return stalled_at
+
+        self.assertLess(self.run_on_loop(work()), 32_000_000)
+
+    def test_kept_answer_beyond_the_bound_is_passed_on_not_kept(self) -> None:
+        async def work() -> None:
+            async def large(connection: Connection, head: bytes) -> None:
+                connection.send_answer(CHUNK)
+
+            async with RawBackend(large) as backend:
+                core = DirectCore(backend.address, keep_answer=True)
+                limits = LimitSettings(remembered_answer_bytes=1_000)
+                async with Front(core, limits) as front, RawCaller(front.caller_port) as caller:
+                    read = await caller.get(b"/booking/")
+            self.assertEqual(read.body, CHUNK)
+            self.assertEqual(core.events[-1], ("ended", None, len(CHUNK)))
+
+        self.run_on_loop(work())
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,255 @@
+"""Tests of the servers of an entry: what callers send, and what they get."""
+
+import asyncio
+import json
+import tempfile
+import unittest.mock
+
+from briarspur.codes import Code
+from briarspur.messages import TargetAddress
+from briarspur.settings import LimitSettings
+from tests.fakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
+from tests.loop import LoopTestCase, eventually
+
+NOWHERE = TargetAddress("times-1", "127.0.0.1", 1)
+SMALL = LimitSettings(header_bytes=1_024, body_bytes=1_024, receive_s=0.1, callers=2)
+
+
+async def answer_ok(connection: Connection, head: bytes) -> None:
+    connection.send_answer(b"whole", headers=b'ETag: "a"\r\nBriarspur-Code: 9\r\n')
+
+
+class CallerTest(LoopTestCase):
+    """Requests that are served."""
+
+    def test_request_is_served_end_to_end(self) -> None:
+        async def work() -> None:
+            async with (
+                RawBackend(answer_ok) as backend,
+                Front(DirectCore(backend.address)) as front,
+                RawCaller(front.caller_port) as caller,
+            ):
+                read = await caller.get(b"/times/a?b=c", b"Request-Timeout-Ms: 400\r\n")
+            self.assertEqual((read.status, read.body), (200, b"whole"))
+            self.assertEqual(read.headers[b"briarspur-code"], b"1000")
+            self.assertEqual(read.headers[b"briarspur-ran"], b"yes")
+            self.assertEqual(read.headers[b"briarspur-request-id"], b"abcd-1")
+            head = backend.heads[0].lower()
+            self.assertIn(b"get /times/a?b=c http/1.1", head)
+            self.assertIn(b"request-timeout-ms: 3", head)
+
+        self.run_on_loop(work())
+
+    def test_connections_are_kept_on_both_sides(self) -> None:
+        async def work() -> None:
+            async with (
+                RawBackend(answer_ok) as backend,
+                Front(DirectCore(backend.address)) as front,
+                RawCaller(front.caller_port) as caller,
+            ):
+                for _ in range(5):
+                    await caller.get(b"/times/")
+            self.assertEqual((len(backend.heads), len(backend.connections)), (5, 1))
+
+        self.run_on_loop(work())
+
+    def test_look_up_and_status_pages(self) -> None:
+        async def work() -> list[Read]:
+            async with Front(DirectCore(NOWHERE)) as front, RawCaller(front.caller_port) as caller:
+                paths = (
+                    b"/v1/lookup?service=times",
+                    b"/v1/lookup?service=times&block=10.0.0.1",
+                    b"/v1/lookup?service=times&block=10.0.0",
+                    b"/v1/lookup",
+                    b"/v1/lookup?service=times&other=1",
+                    b"/healthz",
+                    b"/readyz",
+                    b"/status",
+                )
+                return [await caller.get(path) for path in paths]
+
+        read = self.run_on_loop(work())
+        self.assertEqual([r.status for r in read], [200, 200, 400, 400, 400, 200, 200, 200])
+        self.assertEqual(json.loads(read[0].body)["block"], 127 << 24 | 1)
+        self.assertEqual(json.loads(read[1].body)["block"], 10 << 24 | 1)
+        self.assertTrue(all(b"briarspur-request-id" in r.headers for r in read))
+
+    def test_request_bodies_touch_no_file(self) -> None:
+        """A large order must be carried on a VM without disks.
+
+        Twisted writes request bodies of over 100 kB to a temporary file. With no disk, or a full
+        one, the caller would get an internal error for a valid request.
+        """
+
+        async def work() -> Read:
+            async with (
+                RawBackend(answer_ok) as backend,
+                Front(DirectCore(backend.address)) as front,
+                RawCaller(front.caller_port) as caller,
+            ):
+                body = b"x" * 300_000
+                head = b"POST /booking/ HTTP/1.1\r\nContent-Length: 300000\r\n\r\n"
+                return await caller.ask(head + body)
+
+        with unittest.mock.patch.object(tempfile, "TemporaryFile", side_effect=OSError("no disk")):
+            self.assertEqual(self.run_on_loop(work()).status, 200)
+
+
+class BadInputTest(LoopTestCase):
+    """Each bad input gets its numbered answer at once, and harms nobody else."""
+
+    def expect(self, request: bytes, code: Code, limits: LimitSettings = SMALL) -> None:
+        """Check the answer to ``request``, and that another caller is served after it."""
+
+        async def work() -> None:
+            async with RawBackend(answer_ok) as backend:
+                core = DirectCore(backend.address)
+                async with Front(core, limits) as front, RawCaller(front.caller_port) as bad:
+                    read = await bad.ask(request)
+                    async with RawCaller(front.caller_port) as good:
+                        served = await good.get(b"/times/")
+            document = json.loads(read.body)
+            self.assertEqual(document["name"], code.name)
+            self.assertEqual(document["ran"], "no")
+            self.assertEqual(read.headers[b"briarspur-code"], b"%d" % code)
+            self.assertEqual(read.headers[b"briarspur-ran"], b"no")
+            self.assertIn(b"briarspur-request-id", read.headers)
+            self.assertEqual(served.body, b"whole")
+            self.assertEqual(len(backend.heads), 1)
+
+        self.run_on_loop(work())
+
+    def test_garbage(self) -> None:
+        self.expect(b"\x16\x03\x01 what\r\n\r\n", Code.BAD_REQUEST)
+
+    def test_header_without_colon(self) -> None:
+        self.expect(b"GET / HTTP/1.1\r\nnonsense\r\n\r\n", Code.BAD_REQUEST)
+
+    def test_unknown_method(self) -> None:
+        self.expect(b"BREW / HTTP/1.1\r\n\r\n", Code.BAD_REQUEST)
+
+    def test_absolute_uri(self) -> None:
+        self.expect(b"GET http://x/ HTTP/1.1\r\n\r\n", Code.BAD_REQUEST)
+
+    def test_dot_segments(self) -> None:
+        self.expect(b"GET /times/../booking HTTP/1.1\r\n\r\n", Code.BAD_REQUEST)
+        self.expect(b"GET /times/%2E./booking HTTP/1.1\r\n\r\n", Code.BAD_REQUEST)
+
+    def test_bad_timeout(self) -> None:
+        self.expect(b"GET / HTTP/1.1\r\nRequest-Timeout-Ms: soon\r\n\r\n", Code.BAD_REQUEST)
+        self.expect(b"GET / HTTP/1.1\r\nRequest-Timeout-Ms: 0\r\n\r\n", Code.BAD_REQUEST)
+
+    def test_malformed_key(self) -> None:
+        self.expect(b"POST / HTTP/1.1\r\nIdempotency-Key: a b\r\n\r\n", Code.MALFORMED_KEY)
+        two = b"Idempotency-Key: a\r\nIdempotency-Key: b\r\n"
+        self.expect(b"POST / HTTP/1.1\r\n" + two + b"\r\n", Code.MALFORMED_KEY)
+
+    def test_long_header_line(self) -> None:
+        line = b"X: " + b"x" * 2_000
+        self.expect(b"GET / HTTP/1.1\r\n" + line + b"\r\n\r\n", Code.HEADERS_TOO_LARGE)
+
+    def test_endless_header_line(self) -> None:
+        self.expect(b"GET / HTTP/1.1\r\nX: " + b"x" * 100_000, Code.HEADERS_TOO_LARGE)
+
+    def test_many_headers(self) -> None:
+        lines = b"".join(b"X%d: x\r\n" % n for n in range(200))
+        self.expect(b"GET / HTTP/1.1\r\n" + lines + b"\r\n", Code.HEADERS_TOO_LARGE)
+
+    def test_declared_body_is_refused_before_it_is_sent(self) -> None:
+        self.expect(b"POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", Code.BODY_TOO_LARGE)
+
+    def test_large_body_is_refused_while_it_is_sent(self) -> None:
+        """A caller that sends far too much still reads why.
+
+        It goes on sending after the answer. If the entry closed at once, the kernel would reset
+        the connection for the unread bytes, and the caller would see the reset only.
+        """
+        head = b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n"
+        self.expect(head + b"x" * 2_000_000, Code.BODY_TOO_LARGE)
+
+    def test_chunked_body_is_counted(self) -> None:
+        chunk = b"400\r\n" + b"x" * 1_024 + b"\r\n"
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.expect(head + chunk * 3, Code.BODY_TOO_LARGE)
+
+    def test_two_lengths(self) -> None:
+        lengths = b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+        self.expect(b"POST / HTTP/1.1\r\n" + lengths + b"\r\n", Code.BAD_REQUEST)
+
+    def test_slow_caller(self) -> None:
+        """A caller that trickles bytes in is refused, however busy it keeps its connection."""
+        self.expect(b"GET / HTTP/1.1\r\nX: y\r\n", Code.CALLER_TOO_SLOW)
+        self.expect(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123", Code.CALLER_TOO_SLOW)
+
+    def test_caller_over_the_bound_is_refused(self) -> None:
+        async def work() -> Read:
+            async with (
+                Front(DirectCore(NOWHERE), SMALL) as front,
+                RawCaller(front.caller_port) as one,
+            ):
+                await one.get(b"/healthz")
+                async with RawCaller(front.caller_port) as two:
+                    await two.get(b"/healthz")
+                    async with RawCaller(front.caller_port) as three:
+                        refused = await three.read()
+                    self.assertEqual((await one.get(b"/healthz")).status, 200)
+                    return refused
+
+        read = self.run_on_loop(work())
+        self.assertEqual((read.status, read.headers[b"retry-after"]), (503, b"1"))
+
+    def test_forward_port_takes_entries_only(self) -> None:
+        async def work() -> None:
+            async with Front(DirectCore(NOWHERE)) as front, RawCaller(front.forward_port) as caller:
+                read = await caller.get(b"/times/")
+                self.assertEqual(json.loads(read.body)["name"], "BAD_REQUEST")
+            self.assertEqual(front.core.requests, [])
+
+        self.run_on_loop(work())
+
+    def test_caller_cannot_pose_as_an_entry(self) -> None:
+        async def work() -> None:
+            async with (
+                RawBackend(answer_ok) as backend,
+                Front(DirectCore(backend.address)) as front,
+                RawCaller(front.caller_port) as caller,
+            ):
+                await caller.get(b"/times/", b"Briarspur-Forwarded-By: entry-2\r\n")
+            self.assertIsNone(front.core.requests[0].forwarded_by)
+            self.assertNotIn(b"forwarded-by", backend.heads[0].lower())
+
+        self.run_on_loop(work())
+
+
+class CloseTest(LoopTestCase):
+    """A server that closes cuts no request in flight."""
+
+    def test_request_in_flight_is_answered_after_close(self) -> None:
+        """An entry is stopped for maintenance while a chart pack is on its way.
+
+        The port is closed and idle connections end; the download must go on to its last byte.
+        """
+
+        async def work() -> Read:
+            go_on = asyncio.Event()
+
+            async def slow(connection: Connection, head: bytes) -> None:
+                connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf")
+                await go_on.wait()
+                connection.send(b"half")
+
+            async with (
+                RawBackend(slow) as backend,
+                Front(DirectCore(backend.address)) as front,
+                RawCaller(front.caller_port) as caller,
+            ):
+                reading = asyncio.ensure_future(caller.get(b"/times/"))
+                await eventually(lambda: bool(front.core.events))
+                await front.server.close()
+                go_on.set()
+                read = await reading
+                self.assertEqual(await caller.reader.read(), b"")
+                return read
+
+        read = self.run_on_loop(work())
+        self.assertEqual((read.body, read.cut), (b"halfhalf", False))
