--- /dev/null
+++ b/briarspur/inflight.py
@@ -0,0 +1,170 @@
+"""The attempts in progress: what each one holds, and what its end teaches."""
+
+from briarspur.coord.once import KeyMemory
+from briarspur.coord.quarantine import Quarantine
+from briarspur.members import ViewedMember
+from briarspur.messages import Dispatch, Failure, Forward
+from briarspur.placement import Placement
+from briarspur.target import OwnTarget
+from briarspur.work import Attempt, Work
+
+__all__ = ["InFlight"]
+
+
+class InFlight:
+    """Attempts by id.
+
+    An attempt holds a slot of its target and a unit of the region's limit from the moment it is
+    made until :meth:`end`. Making one for a request with a key is the point of no return.
+    """
+
+    def __init__(
+        self, region: str, placement: Placement, quarantine: Quarantine, keys: KeyMemory
+    ) -> None:
+        self._region = region
+        self._placement = placement
+        self._quarantine = quarantine
+        self._keys = keys
+        self._by_id: dict[int, Attempt] = {}
+        self._work_by_attempt: dict[int, Work] = {}
+        self._last_id = 0
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def current(self, attempt_id: int) -> tuple[Work, Attempt] | None:
+        """Return a request with its current attempt; None if that was given up or replaced.
+
+        Answers of superseded attempts arrive late and out of order; passing one on would give a
+        caller a part of one answer and a part of another.
+        """
+        attempt = self._by_id.get(attempt_id)
+        work = self._work_by_attempt.get(attempt_id)
+        if attempt is None or work is None or work.attempt is not attempt:
+            return None
+        return work, attempt
+
+    def to_target(self, work: Work, own: OwnTarget, now: float) -> Dispatch | None:
+        """Dispatch to a target of ours; its unit of the region's limit was just taken.
+
+        Returns None, with the unit given back, if the request must not be sent after all.
+        """
+        attempt = self._make(work, now)
+        attempt.target_id = own.target.target_id
+        if work.alone and not self._quarantine.begin_alone(work.request.body_digest, now):
+            self._placement.account.release(work.deadline)
+            self._unmake(work, attempt)
+            return None
+        if work.key is not None and not self._keys.dispatched(work.key, attempt.attempt_id):
+            self._placement.account.release(work.deadline)
+            self._unmake(work, attempt)
+            return None
+        self._placement.targets_by_service[attempt.service].started(own, attempt.attempt_id, work)
+        return Dispatch(
+            request_id=work.request.request_id,
+            attempt_id=attempt.attempt_id,
+            target=own.target.address,
+            service=attempt.service,
+            region=self._region,
+            priority=work.priority,
+            deadline=work.deadline,
+            keep_answer=work.key is not None,
+            resume_at=work.passed,
+        )
+
+    def to_entry(
+        self, work: Work, member: ViewedMember, now: float, to_home: bool = False
+    ) -> Forward | None:
+        """Forward to another entry; None if the request must not be sent after all."""
+        attempt = self._make(work, now)
+        attempt.entry_id = member.address.entry_id
+        attempt.key_home = to_home
+        if work.key is not None and not self._keys.dispatched(work.key, attempt.attempt_id):
+            self._unmake(work, attempt)
+            return None
+        self._placement.loads.sent(attempt.entry_id, attempt.service)
+        return Forward(
+            request_id=work.request.request_id,
+            attempt_id=attempt.attempt_id,
+            entry=member.address,
+            deadline=work.deadline,
+            dispatch_only=work.key is not None,
+            relay_refusals=to_home,
+            keep_answer=work.key is not None,
+            resume_at=work.passed,
+        )
+
+    def _make(self, work: Work, now: float) -> Attempt:
+        self._last_id += 1
+        request_id = work.request.request_id
+        attempt = Attempt(self._last_id, request_id, work.service.name, work.region, now)
+        self._by_id[attempt.attempt_id] = attempt
+        self._work_by_attempt[attempt.attempt_id] = work
+        work.attempt = attempt
+        work.tries += 1
+        return attempt
+
+    def _unmake(self, work: Work, attempt: Attempt) -> None:
+        del self._by_id[attempt.attempt_id]
+        del self._work_by_attempt[attempt.attempt_id]
+        work.attempt = None
+
+    def answered(self, work: Work, attempt: Attempt, status: int, now: float) -> None:
+        """End an attempt whose whole answer has arrived, and learn from it."""
+        self._quarantine.innocent(work.request.body_digest)
+        own = self._own_target(attempt)
+        if own is not None:
+            targets = self._placement.targets_by_service[attempt.service]
+            targets.answered(own, now - attempt.started, now)
+            self._record(attempt, status < 500, now)
+        self.end(work, attempt)
+
+    def failed(
+        self, work: Work, attempt: Attempt, failure: Failure, crashed: bool, now: float
+    ) -> None:
+        """End an attempt that brought no whole answer, and learn from it."""
+        own = self._own_target(attempt)
+        if own is not None:
+            self._record(attempt, failure is Failure.SHED, now)
+            if crashed:
+                self._crashed(own, attempt, now)
+        self.end(work, attempt)
+        if attempt.target_id is not None:
+            work.failed_targets.add(attempt.target_id)
+        if attempt.entry_id is not None:
+            work.full_entries.add(attempt.entry_id)
+
+    def end(self, work: Work, attempt: Attempt) -> None:
+        """Give back what an attempt holds."""
+        del self._by_id[attempt.attempt_id]
+        del self._work_by_attempt[attempt.attempt_id]
+        work.attempt = None
+        if attempt.entry_id is not None:
+            self._placement.loads.ended(attempt.entry_id, attempt.service)
+            return
+        own = self._own_target(attempt)
+        if own is not None:
+            targets = self._placement.targets_by_service[attempt.service]
+            targets.ended(own, attempt.attempt_id)
+            self._placement.account.release(work.deadline)
+            self._quarantine.end_alone(work.request.body_digest)
+
+    def _crashed(self, own: OwnTarget, attempt: Attempt, now: float) -> None:
+        # One crash breaks every connection to the target. Counting each as a crash would convict a
+        # suspect at the first one, so the first event names the suspects and clears the list.
+        if attempt.attempt_id not in own.digests_by_attempt:
+            return
+        suspects = list(own.digests_by_attempt.values())
+        own.digests_by_attempt.clear()
+        self._quarantine.crashed(own.target.target_id, suspects, now)
+        own.ramp.restart(now)
+
+    def _record(self, attempt: Attempt, ok: bool, now: float) -> None:
+        if attempt.target_id is not None:
+            outliers = self._placement.outliers_by_service[attempt.service]
+            outliers.record(attempt.target_id, ok, now)
+
+    def _own_target(self, attempt: Attempt) -> OwnTarget | None:
+        if attempt.target_id is None:
+            return None
+        return self._placement.targets_by_service[attempt.service].by_id.get(attempt.target_id)
--- a/briarspur/server.py
+++ b/briarspur/server.py
@@ -9,9 +9,9 @@
 from twisted.web.http import HTTPChannel
 
 from briarspur import logs
+from briarspur.callerrequest import Arrivals, CarriedRequest
 from briarspur.channel import ChannelClock, ChannelFactory
 from briarspur.codes import Code
-from briarspur.exchange import Arrivals, Exchange
 from briarspur.inbound import read_forwarded, read_lookup, read_request
 from briarspur.messages import Answer, Refusal
 from briarspur.metrics import Metrics
@@ -128,7 +128,7 @@
         logs.event("refused", code=int(refusal.code), code_name=refusal.code.name)
 
     def _factory(self, kind: "type[CallerRequest | ForwardedRequest]") -> ChannelFactory:
-        def make(channel: HTTPChannel, queued: object) -> Exchange:
+        def make(channel: HTTPChannel, queued: object) -> CarriedRequest:
             return kind(channel, self)
 
         return ChannelFactory(
@@ -136,7 +136,7 @@
         )
 
 
-class CallerRequest(Exchange):
+class CallerRequest(CarriedRequest):
     """A request on the port for callers."""
 
     def __init__(self, channel: HTTPChannel, server: EntryServer) -> None:
@@ -197,7 +197,7 @@
         self.reply(Answer(200, ((b"Content-Type", b"application/json"),), body), Code.ANSWERED)
 
 
-class ForwardedRequest(Exchange):
+class ForwardedRequest(CarriedRequest):
     """A request on the port for other entries."""
 
     def __init__(self, channel: HTTPChannel, server: EntryServer) -> None:
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -5,7 +5,7 @@
 
 from briarspur.backend import AnswerHead, Attempt, AttemptError, BackendClient, Outgoing
 from briarspur.messages import Failure
-from tests.fakes import HOST, Connection, RawBackend
+from tests.httpfakes import HOST, Connection, RawBackend
 from tests.loop import REACTOR, LoopTestCase, eventually, fired
 
 CHUNK = b"x" * 65_536
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -5,7 +5,7 @@
 
 from briarspur.messages import Failure
 from briarspur.settings import LimitSettings
-from tests.fakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
+from tests.httpfakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
 from tests.loop import LoopTestCase, eventually
 
 CHUNK = b"x" * 65_536
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -8,7 +8,7 @@
 from briarspur.codes import Code
 from briarspur.messages import TargetAddress
 from briarspur.settings import LimitSettings
-from tests.fakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
+from tests.httpfakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
 from tests.loop import LoopTestCase, eventually
 
 NOWHERE = TargetAddress("times-1", "127.0.0.1", 1)
