--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -28,7 +28,7 @@
 from briarspur.metrics import NullMetrics
 from briarspur.server import EntryServer, ServerSettings
 from briarspur.settings import LimitSettings
-from tests.loop import REACTOR
+from tests.loop import the_reactor
 
 __all__ = ["DirectCore", "FakeKeys", "Front", "RawBackend", "RawCaller", "Read"]
 
@@ -251,13 +251,15 @@
     ) -> None:
         self.core = core
         self.limits = limits or LimitSettings()
-        self.client = client or BackendClient(REACTOR)
+        self.client = client or BackendClient(the_reactor())
         settings = CarrySettings(
             "entry-1", self.limits.remembered_answer_bytes, lambda target_id: connections
         )
-        self.carrier = Carrier(core, self.client, REACTOR, FakeKeys(), NullMetrics(), settings)
+        self.carrier = Carrier(
+            core, self.client, the_reactor(), FakeKeys(), NullMetrics(), settings
+        )
         self.server = EntryServer(
-            REACTOR,
+            the_reactor(),
             self.carrier,
             self.look_up,
             self,
--- a/tests/loop.py
+++ b/tests/loop.py
@@ -1,38 +1,42 @@
-"""The one loop of the tests that need Twisted: installed once, driven by ``run``."""
+"""Tests whose steps run on the loop that tests with Twisted share."""
 
 import asyncio
 import unittest
 from collections.abc import Callable, Coroutine
-from typing import Any, TypeVar, cast
+from typing import Any, TypeVar
 
-from twisted.internet import asyncioreactor
-from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 from twisted.internet.defer import Deferred
 
 from briarspur.coord.invariants import invariants
+from tests.reactor import run
 
-__all__ = ["LOOP", "REACTOR", "LoopTestCase", "eventually", "fired"]
+__all__ = ["LoopTestCase", "eventually", "fired", "the_reactor"]
 
 T = TypeVar("T")
 WAIT = 10.0
 
-LOOP = asyncio.new_event_loop()
-asyncioreactor.install(LOOP)
-from twisted.internet import reactor as _installed  # noqa: E402
-
-REACTOR = cast(AsyncioSelectorReactor, _installed)
-
 
 class LoopTestCase(unittest.TestCase):
     """A test whose steps run on the loop; an invariant that fails, fails the test."""
 
     def setUp(self) -> None:
+        self.addCleanup(setattr, invariants, "strict", invariants.strict)
         invariants.strict = True
 
     def run_on_loop(self, work: Coroutine[Any, Any, T]) -> T:
         """Run a coroutine to its end; a test that hangs is ended after some seconds."""
-        asyncio.set_event_loop(LOOP)
-        return LOOP.run_until_complete(asyncio.wait_for(work, WAIT))
+
+        async def bounded() -> T:
+            return await asyncio.wait_for(work, WAIT)
+
+        return run(bounded())
+
+
+def the_reactor() -> Any:
+    """Return the reactor over the shared loop; call it on the loop."""
+    from twisted.internet import reactor
+
+    return reactor
 
 
 async def eventually(holds: Callable[[], bool]) -> None:
@@ -41,6 +45,6 @@
         await asyncio.sleep(0.002)
 
 
-async def fired(deferred: "Deferred[T]") -> T:
+async def fired(deferred: "Deferred[Any]") -> Any:
     """Wait for a Deferred."""
-    return cast(T, await deferred.asFuture(LOOP))
+    return await deferred.asFuture(asyncio.get_running_loop())
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -6,7 +6,7 @@
 from briarspur.backend import AnswerHead, Attempt, AttemptError, BackendClient, Outgoing
 from briarspur.messages import Failure
 from tests.httpfakes import HOST, Connection, RawBackend
-from tests.loop import REACTOR, LoopTestCase, eventually, fired
+from tests.loop import LoopTestCase, eventually, fired, the_reactor
 
 CHUNK = b"x" * 65_536
 
@@ -58,7 +58,7 @@
 
     def failure(self, script: object, method: bytes = b"GET") -> AttemptError:
         async def work() -> AttemptError:
-            client = BackendClient(REACTOR)
+            client = BackendClient(the_reactor())
             async with RawBackend(script) as backend:  # type: ignore[arg-type]
                 recorder = await send(client, outgoing(backend.port, method))
             await fired(client.close())
@@ -72,7 +72,7 @@
         async def work() -> Recorder:
             with socket.socket() as closed:
                 closed.bind((HOST, 0))
-                return await send(BackendClient(REACTOR), outgoing(closed.getsockname()[1]))
+                return await send(BackendClient(the_reactor()), outgoing(closed.getsockname()[1]))
 
         recorder = self.run_on_loop(work())
         assert recorder.failed is not None
@@ -91,7 +91,7 @@
                 for filler in fillers:
                     filler.setblocking(False)
                     filler.connect_ex((HOST, port))
-                recorder = await send(BackendClient(REACTOR, 0.05), outgoing(port))
+                recorder = await send(BackendClient(the_reactor(), 0.05), outgoing(port))
                 for filler in fillers:
                     filler.close()
                 return recorder
@@ -106,7 +106,7 @@
             async def silent(connection: Connection, head: bytes) -> None:
                 await asyncio.sleep(60)
 
-            client = BackendClient(REACTOR)
+            client = BackendClient(the_reactor())
             async with RawBackend(silent) as backend:
                 first = Recorder()
                 first.attempt = client.send(outgoing(backend.port, most_open=1), first)
@@ -152,7 +152,7 @@
                 else:
                     connection.writer.close()
 
-            client = BackendClient(REACTOR)
+            client = BackendClient(the_reactor())
             async with RawBackend(answer_once) as backend:
                 first = await send(client, outgoing(backend.port))
                 self.assertEqual(first.body, b"first")
@@ -177,7 +177,7 @@
                 connection.writer.close()
 
             async with RawBackend(script) as backend:
-                return await send(BackendClient(REACTOR), outgoing(backend.port))
+                return await send(BackendClient(the_reactor()), outgoing(backend.port))
 
         return self.run_on_loop(work())
 
