--- a/briarspur/answers.py
+++ b/briarspur/answers.py
@@ -12,7 +12,15 @@
 from briarspur.codes import CODES, Code, Ran
 from briarspur.messages import Answer, Failure, Refusal
 
-__all__ = ["Declined", "continues", "declined", "is_resumable", "refusal_answer", "strong_etag"]
+__all__ = [
+    "Declined",
+    "continues",
+    "declined",
+    "is_draining",
+    "is_resumable",
+    "refusal_answer",
+    "strong_etag",
+]
 
 OK = 200
 PARTIAL_CONTENT = 206
@@ -85,6 +93,12 @@
 _RAN_BY_VALUE = {ran.value.encode(): ran for ran in Ran}
 
 
+def is_draining(head: AnswerHead) -> bool:
+    """Return whether a backend server says that it takes no new work after this request."""
+    said = names.last_value(head.headers, names.DRAINING)
+    return said is not None and said.lower() == b"true"
+
+
 def strong_etag(headers: Headers) -> bytes | None:
     """Return the entity tag if it is strong: equal only for equal bytes."""
     etag = names.last_value(headers, b"ETag")
--- a/briarspur/attempts.py
+++ b/briarspur/attempts.py
@@ -5,7 +5,7 @@
 
 from twisted.web.http_headers import Headers
 
-from briarspur.answers import Declined, continues, declined, is_resumable
+from briarspur.answers import Declined, continues, declined, is_draining, is_resumable
 from briarspur.backend import AnswerHead, Attempt, AttemptError
 from briarspur.codes import Code
 from briarspur.headers import answer_headers
@@ -75,6 +75,8 @@
         What another entry answered last.
     another_entity : bool
         The rest of the body was asked for, and another entity came.
+    region : str
+        Where this entry dispatched the request last; empty if it did not.
     """
 
     inbound: Inbound
@@ -85,7 +87,7 @@
     first_head: AnswerHead | None = None
     peer_code: Code | None = None
     another_entity: bool = False
-    service: str = ""
+    region: str = ""
 
     @property
     def request(self) -> Request:
@@ -109,6 +111,9 @@
     def attempt_began(self, attempt: "OpenAttempt", status: int) -> bool:
         """Report the head; return whether the answer is to be passed on."""
 
+    def target_leaving(self, target_id: str) -> None:
+        """Note that a backend server said it takes no new work."""
+
     def part_passed(self, attempt: "OpenAttempt", size: int) -> None:
         """Account for body bytes given to a caller."""
 
@@ -157,6 +162,11 @@
         """The core's number of this attempt."""
         return self.action.attempt_id
 
+    @property
+    def status(self) -> int:
+        """The answer's status; 0 if none has come."""
+        return self.head.status if self.head is not None else 0
+
     @property
     def to_entry(self) -> bool:
         """Whether the receiver is another entry."""
@@ -171,7 +181,9 @@
         """Judge the head: a refusal, the rest of a cut body, or an answer."""
         assert self.handle is not None
         self.head = head
-        refused = declined(head, self.to_entry)
+        if isinstance(self.action, Dispatch) and is_draining(head):
+            self._owner.target_leaving(self.action.target.target_id)
+        refused = self._refused(head)
         if refused is not None:
             self._decline(refused)
         elif self.action.resume_at and not self._continues(head):
@@ -244,6 +256,15 @@
         if not self._held_by and self.handle is not None:
             self.handle.resume()
 
+    def _refused(self, head: AnswerHead) -> Declined | None:
+        """Return what the head says if the request was not surely run."""
+        refused = declined(head, self.to_entry)
+        relayed = isinstance(self.action, Forward) and self.action.relay_refusals
+        # Only the home of a key knows what became of it: its word goes to the caller as it is.
+        if relayed and refused is not None and refused.code is not None:
+            return None
+        return refused
+
     def _decline(self, refused: Declined) -> None:
         assert self.handle is not None
         self.handle.discard_body()
--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from briarspur.backend import Outgoing
 from briarspur.codes import CODES, Code
 from briarspur.interfaces import (
+    CarryObserver,
     Clock,
     DelayedCall,
     FetchedOutcome,
@@ -37,7 +39,6 @@
     Reply,
     Request,
 )
-from briarspur.metrics import Metrics
 from briarspur.outgoing import dispatch_request, forward_request
 
 __all__ = ["Carrier", "CarrySettings", "DecisionCore"]
@@ -53,14 +54,14 @@
     the rule's. Events of an attempt that was cancelled are not reported.
     """
 
-    def request_arrived(self, request: Request, now: float) -> list[Action]:
-        """Decide on a new request."""
+    def request_arrived(self, request: Request, now: float, wall: float) -> list[Action]:
+        """Decide on a new request; ``wall`` is unix time in seconds."""
 
     def answer_began(self, attempt_id: int, status: int, now: float) -> list[Action]:
         """Decide on an answer: ``Begin`` passes it on; without one the attempt is dropped."""
 
     def answer_ended(
-        self, attempt_id: int, answer: Answer | None, size: int, now: float
+        self, attempt_id: int, answer: Answer | None, size: int, now: float, status: int = 200
     ) -> list[Action]:
         """Note a whole answer of ``size`` bytes; ``answer`` if it is to be remembered."""
 
@@ -87,10 +88,10 @@
     ) -> list[Action]:
         """Go on after reading a gone incarnation's outcomes."""
 
-    def tick(self, now: float) -> list[Action]:
+    def tick(self, now: float, wall: float) -> list[Action]:
         """Do what is due."""
 
-    def next_wake(self) -> float | None:
+    def next_wake(self, now: float) -> float | None:
         """Return when a tick is due at the latest, None if nothing waits."""
 
 
@@ -104,11 +105,14 @@
         Size in bytes up to which an answer is remembered.
     connections_of : callable
         Bound on open connections to a target, by its id.
+    wall : callable
+        Returns unix time in seconds.
     """
 
     entry_id: str
     most_kept: int
     connections_of: Callable[[str], int]
+    wall: Callable[[], float] = time.time
 
 
 class Carrier:
@@ -120,7 +124,7 @@
         sender: Sender,
         clock: Clock,
         keys: KeyStore,
-        metrics: Metrics,
+        observer: CarryObserver,
         settings: CarrySettings,
         pacer: LinkPacer | None = None,
     ) -> None:
@@ -128,7 +132,7 @@
         self._sender = sender
         self._clock = clock
         self._keys = keys
-        self._metrics = metrics
+        self._observer = observer
         self._settings = settings
         self._pacer = pacer or NoPacing()
         self._requests_by_id: dict[str, OpenRequest] = {}
@@ -148,7 +152,7 @@
         now = self._clock.seconds()
         request = inbound.request
         self._requests_by_id[request.request_id] = OpenRequest(inbound, now, inbound.caller)
-        self._carry_out(self._core.request_arrived(request, now))
+        self._carry_out(self._core.request_arrived(request, now, self._settings.wall()))
 
     def caller_gone(self, request_id: str) -> None:
         """Note that a caller's connection is lost."""
@@ -182,13 +186,19 @@
             attempt.hold("link")
             self._clock.callLater(pause, attempt.release, "link")
 
+    def target_leaving(self, target_id: str) -> None:
+        """Pass on that a backend server said it takes no new work."""
+        self._observer.target_leaving(target_id)
+
     def attempt_ended(self, attempt: OpenAttempt, answer: Answer | None) -> None:
         """Finish the caller's answer and report it."""
         open_request = attempt.open_request
         self._remove(attempt)
         now = self._clock.seconds()
         # The core comes first: finishing may take up the next request of the same connection.
-        actions = self._core.answer_ended(attempt.attempt_id, answer, attempt.size, now)
+        actions = self._core.answer_ended(
+            attempt.attempt_id, answer, attempt.size, now, attempt.status
+        )
         if open_request.caller is not None:
             open_request.caller.finish()
             open_request.caller = None
@@ -217,7 +227,7 @@
     def tick(self) -> None:
         """Let the core do what is due."""
         self._wake = None
-        self._carry_out(self._core.tick(self._clock.seconds()))
+        self._carry_out(self._core.tick(self._clock.seconds(), self._settings.wall()))
 
     def _carry_out(self, actions: list[Action]) -> None:
         """Carry out actions in order; those of events met on the way come after them."""
@@ -264,7 +274,7 @@
         open_request.attempts_by_id[action.attempt_id] = attempt
         self._attempts_by_id[action.attempt_id] = attempt
         if isinstance(action, Dispatch):
-            open_request.service = action.service
+            open_request.region = action.region
         attempt.handle = self._sender.send(self._outgoing(action, open_request), attempt)
 
     def _outgoing(self, action: Dispatch | Forward, open_request: OpenRequest) -> Outgoing:
@@ -351,10 +361,8 @@
             self._requests_by_id.pop(open_request.request.request_id, None)
 
     def _count(self, open_request: OpenRequest, code: Code) -> None:
-        self._metrics.count("answers", code.name)
-        if open_request.service:
-            milliseconds = (self._clock.seconds() - open_request.arrived) * 1000.0
-            self._metrics.timing("answer_ms", milliseconds, open_request.service)
+        seconds = self._clock.seconds() - open_request.arrived
+        self._observer.answered(open_request.request, open_request.region, code, seconds)
 
     def _log(self, event: str, open_request: OpenRequest, refusal: Refusal) -> None:
         logs.event(
@@ -368,10 +376,10 @@
 
     def _schedule(self) -> None:
         """See that the core is called again in time while anything is open."""
-        due = self._core.next_wake()
+        now = self._clock.seconds()
+        due = self._core.next_wake(now)
         if due is None and not self._requests_by_id:
             return
-        now = self._clock.seconds()
         due = now + TICK if due is None else min(max(due, now), now + TICK)
         if self._wake is None:
             self._wake = self._clock.callLater(due - now, self.tick)
--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -11,6 +11,7 @@
 
 from briarspur.answers import refusal_answer
 from briarspur.codes import Code
+from briarspur.headers import IDEMPOTENCY_KEY
 from briarspur.messages import Answer, Refusal
 from briarspur.settings import LimitSettings
 
@@ -70,13 +71,14 @@
         self.receiving_since = math.inf
         self.idle_since = factory.clock.seconds()
         self.held_bytes = 0
+        self.head_received = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Refuse the caller at once if too many are connected."""
         super().connectionMade()
         self.factory.channels.add(self)
         if len(self.factory.channels) > self.factory.limits.callers:
-            self.refuse(Refusal(Code.OVERLOADED, "too many connections", FULL_RETRY_AFTER))
+            self.refuse(Refusal(Code.NOT_READ, "too many connections", FULL_RETRY_AFTER))
 
     def connectionLost(self, reason: TwistedFailure) -> None:  # type: ignore[override] # noqa: N802
         """Tell the open request that its caller is gone."""
@@ -111,12 +113,14 @@
         if self.length is not None and self.length > self.factory.limits.body_bytes:
             self.refuse(Refusal(Code.BODY_TOO_LARGE))
             return
+        self.head_received = True
         super().allHeadersReceived()
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Hand the whole request over."""
         if self.refused:
             return
+        self.head_received = False
         self.receiving_since = math.inf
         self.idle_since = math.inf
         super().allContentReceived()
@@ -137,7 +141,7 @@
             self.refuse(Refusal(Code.BODY_TOO_LARGE))
         elif self.factory.held_bytes > self.factory.most_held:
             detail = "request bodies fill the entry's memory"
-            self.refuse(Refusal(Code.MEMORY_FULL, detail, FULL_RETRY_AFTER))
+            self.refuse(Refusal(Code.NOT_READ, detail, FULL_RETRY_AFTER))
 
     def release_body(self) -> None:
         """Give the request body's memory back."""
@@ -165,10 +169,19 @@
         its first byte, not from its last.
         """
         if now - self.receiving_since > self.factory.limits.receive_s:
-            self.refuse(Refusal(Code.CALLER_TOO_SLOW))
+            self.refuse(self._too_slow())
         elif self.receiving_since == math.inf and now - self.idle_since > IDLE:
             self.loseConnection()
 
+    def _too_slow(self) -> Refusal:
+        # A slow repeat of a booking that was run must not be told "not run": its caller would book
+        # again. Only a request that surely has no key may be told so.
+        unkeyed = self.head_received and not self._has_key()
+        return Refusal(Code.CALLER_TOO_SLOW if unkeyed else Code.NOT_READ, "not sent in time")
+
+    def _has_key(self) -> bool:
+        return bool(self.requests) and self.requests[-1].requestHeaders.hasHeader(IDEMPOTENCY_KEY)
+
     def abort(self) -> None:
         """Cut the connection with a reset."""
         cast(Transport, self.transport).abortConnection()
--- a/briarspur/codes.py
+++ b/briarspur/codes.py
@@ -59,6 +59,7 @@
     HOME_UNREACHABLE = 3003
     STORE_UNAVAILABLE = 3004
     KEY_EXPIRED = 3005
+    NOT_READ = 3006
     CONNECTION_LOST = 4000
     ANSWER_CUT_SHORT = 4001
     DEADLINE_PASSED = 4002
@@ -158,6 +159,12 @@
     Code.KEY_EXPIRED: CodeInfo(
         410, Ran.UNKNOWN, Repeat.ASK_FIRST, "the key is older than its memory; it is not run now"
     ),
+    Code.NOT_READ: CodeInfo(
+        503,
+        Ran.UNKNOWN,
+        Repeat.SAME_KEY,
+        "this copy was refused before it was read and not run; an earlier one can't be ruled out",
+    ),
     Code.CONNECTION_LOST: CodeInfo(
         502, Ran.UNKNOWN, Repeat.SAME_KEY, "an idempotent request's connection broke"
     ),
--- a/briarspur/headers.py
+++ b/briarspur/headers.py
@@ -9,6 +9,7 @@
     "CODE",
     "DEADLINE_MS",
     "DISPATCH_ONLY",
+    "DRAINING",
     "FORWARDED_BY",
     "IDEMPOTENCY_KEY",
     "NOT_RUN",
@@ -25,6 +26,7 @@
 IDEMPOTENCY_KEY = b"Idempotency-Key"
 TIMEOUT_MS = b"Request-Timeout-Ms"
 NOT_RUN = b"Request-Not-Run"
+DRAINING = b"Draining"
 RETRY_AFTER = b"Retry-After"
 CODE = b"Briarspur-Code"
 RAN = b"Briarspur-Ran"
@@ -49,7 +51,7 @@
     }
 )
 NOT_FROM_CALLER = HOP_BY_HOP | {b"content-length", b"expect", TIMEOUT_MS.lower()}
-NOT_FROM_BACKEND = HOP_BY_HOP | {NOT_RUN.lower()}
+NOT_FROM_BACKEND = HOP_BY_HOP | {NOT_RUN.lower(), DRAINING.lower()}
 
 Pairs = Iterable[tuple[bytes, bytes]]
 
--- a/briarspur/interfaces.py
+++ b/briarspur/interfaces.py
@@ -5,9 +5,11 @@
 from typing import Protocol
 
 from briarspur.backend import Attempt, AttemptEvents, Outgoing
-from briarspur.messages import Answer, ClaimResult, Priority
+from briarspur.codes import Code
+from briarspur.messages import Answer, ClaimResult, Priority, Request
 
 __all__ = [
+    "CarryObserver",
     "Clock",
     "DelayedCall",
     "FetchedOutcome",
@@ -36,6 +38,24 @@
         """Read what a gone incarnation recorded about a key."""
 
 
+class CarryObserver(Protocol):
+    """Who counts answers, and learns what backend servers say of themselves."""
+
+    def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
+        """Count a final answer.
+
+        Parameters
+        ----------
+        region : str
+            Where it was dispatched to; empty if it was not dispatched by this entry.
+        seconds : float
+            From the request's arrival to the answer's end.
+        """
+
+    def target_leaving(self, target_id: str) -> None:
+        """Note that a backend server said in an answer that it takes no new work."""
+
+
 class LinkPacer(Protocol):
     """The byte rate of links."""
 
--- a/briarspur/server.py
+++ b/briarspur/server.py
@@ -154,9 +154,6 @@
         if path in STATUS_PATHS and self.method == b"GET":
             self._show(path)
             return
-        if not server.pages.is_ready():
-            self.refuse(Refusal(Code.NOT_READY, retry_after=NOT_READY_RETRY_AFTER))
-            return
         raw = self.raw()
         if raw is None:
             self.refuse(Refusal(Code.BAD_REQUEST, "the caller has no IP number"))
