Put an entry together: look-ups, carried requests, policy by watch, graceful stop

A stop leaves look-ups, serves until cached ones have lapsed, finishes what is open and then writes the outcomes of its keys, in this order.

--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -152,7 +152,7 @@
         now = self._clock.seconds()
         request = inbound.request
         self._requests_by_id[request.request_id] = OpenRequest(inbound, now, inbound.caller)
-        self._carry_out(self._core.request_arrived(request, now, self._settings.wall()))
+        self.carry_out(self._core.request_arrived(request, now, self._settings.wall()))
 
     def caller_gone(self, request_id: str) -> None:
         """Note that a caller's connection is lost."""
@@ -164,7 +164,7 @@
         # at full speed, since a caller that is gone would hold them for ever.
         for attempt in open_request.attempts_by_id.values():
             attempt.release("caller")
-        self._carry_out(self._core.caller_gone(request_id, self._clock.seconds()))
+        self.carry_out(self._core.caller_gone(request_id, self._clock.seconds()))
         self._forget_if_done(open_request)
 
     def attempt_began(self, attempt: OpenAttempt, status: int) -> bool:
@@ -173,7 +173,7 @@
         passing = any(isinstance(a, Begin) and a.attempt_id == attempt.attempt_id for a in actions)
         if not passing:
             self._remove(attempt)
-        self._carry_out(actions)
+        self.carry_out(actions)
         return passing
 
     def part_passed(self, attempt: OpenAttempt, size: int) -> None:
@@ -203,7 +203,7 @@
             open_request.caller.finish()
             open_request.caller = None
             self._count(open_request, Code.ANSWERED)
-        self._carry_out(actions)
+        self.carry_out(actions)
         self._forget_if_done(open_request)
 
     def attempt_failed(
@@ -221,15 +221,15 @@
             resumable=open_request.can_resume(),
             crashed=crashed and not attempt.to_entry,
         )
-        self._carry_out(actions)
+        self.carry_out(actions)
         self._forget_if_done(open_request)
 
     def tick(self) -> None:
         """Let the core do what is due."""
         self._wake = None
-        self._carry_out(self._core.tick(self._clock.seconds(), self._settings.wall()))
+        self.carry_out(self._core.tick(self._clock.seconds(), self._settings.wall()))
 
-    def _carry_out(self, actions: list[Action]) -> None:
+    def carry_out(self, actions: list[Action]) -> None:
         """Carry out actions in order; those of events met on the way come after them."""
         self._actions.extend(actions)
         if self._carrying_out:
@@ -329,7 +329,7 @@
             logs.event("internal-error", logging.ERROR, during="claim", error=repr(error))
             result = ClaimResult.UNSETTLED
         now = self._clock.seconds()
-        self._carry_out(self._core.claim_settled(action.request_id, result, now))
+        self.carry_out(self._core.claim_settled(action.request_id, result, now))
 
     async def _fetch_outcome(self, action: FetchOutcome) -> None:
         try:
@@ -338,7 +338,7 @@
             logs.event("internal-error", logging.ERROR, during="fetch-outcome", error=repr(error))
             outcome = FetchedOutcome(found=False)
         now = self._clock.seconds()
-        self._carry_out(
+        self.carry_out(
             self._core.outcome_fetched(action.request_id, outcome.found, outcome.answer, now)
         )
 
--- /dev/null
+++ b/briarspur/entry.py
@@ -0,0 +1,214 @@
+"""``briarspur-entry``: answers look-ups and carries requests; here its parts are put together."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+import sys
+from collections.abc import Coroutine, Sequence
+from typing import Any, cast
+
+from briarspur import logs
+from briarspur.backend import BackendClient
+from briarspur.carry import Carrier, CarrySettings
+from briarspur.coord.claims import Claims
+from briarspur.coord.errors import StoreConflictError, StoreError
+from briarspur.coord.outcomes import OutcomePage, outcomes_of
+from briarspur.coord.store import ABSENT
+from briarspur.core import Core
+from briarspur.daemon import run
+from briarspur.keystore import ObjectKeyStore
+from briarspur.members import MemberView, ViewedMember
+from briarspur.messages import EntryAddress
+from briarspur.metrics import Metrics, NullMetrics, StatsdMetrics
+from briarspur.node import EntryNode, NodeClock
+from briarspur.notready import NotReady
+from briarspur.objects import HttpObjectStore
+from briarspur.revision import POLICY_NAME
+from briarspur.server import EntryServer, ServerSettings
+from briarspur.settings import EntrySettings
+from briarspur.stopping import GracefulStop
+from briarspur.watching import ObjectWatch
+
+__all__ = ["EntryDaemon", "main"]
+
+DEFAULT_CONNECTIONS = 350
+"""Bound on open connections to a target the policy no longer names."""
+LEAVE_SPREAD_PROBES = 5
+"""Probe intervals after which every other entry knows that this one is leaving."""
+OUTCOME_TRIES = 20
+OUTCOME_PAUSE = 0.5
+"""Tries to write a page of outcomes, and the seconds between two of them."""
+
+
+class EntryDaemon:
+    """One entry process."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        from twisted.internet import reactor
+
+        self._reactor = cast(Any, reactor)
+        self._settings = settings
+        self._incarnation = secrets.token_hex(8)
+        self._clock = NodeClock(monotonic=self._reactor.seconds)
+        self.store = HttpObjectStore(settings.platform)
+        self._client = BackendClient(self._reactor)
+        self._metrics: Metrics = NullMetrics()
+        if settings.statsd is not None:
+            self._metrics = StatsdMetrics(settings.statsd)
+        self._node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
+        self._node.on_core = self._core_made
+        self._carrier: Carrier | None = None
+        self._server = EntryServer(
+            self._reactor,
+            NotReady(),
+            self._node.look_up,
+            self._node,
+            self._metrics,
+            ServerSettings(self._incarnation, settings.limits),
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._left_at = -float("inf")
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the policy."""
+        settings = self._settings
+        ports = self._server.listen(settings.host, settings.caller_port, settings.forward_port)
+        self._address = EntryAddress(settings.entry_id, settings.host, *ports, settings.peer_port)
+        rng = random.Random(settings.seed)
+        watch = ObjectWatch(self.store, POLICY_NAME, self._node.policy_stored, rng)
+        self._start(watch.run())
+
+    @property
+    def caller_port(self) -> int:
+        """The port callers come to."""
+        return self._address.caller_port
+
+    @property
+    def incarnation(self) -> str:
+        """Random id of this process."""
+        return self._incarnation
+
+    def is_ready(self) -> bool:
+        """Return whether callers may come."""
+        return self._node.is_ready()
+
+    def policy_version(self) -> int:
+        """Return the version in force, 0 if there is none."""
+        return self._node.policy.version if self._node.policy is not None else 0
+
+    async def stop(self) -> None:
+        """End in order; see :class:`GracefulStop`."""
+        await GracefulStop(self, self._clock.monotonic, self._settings.drain_grace_s).run()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.store.close()
+        self._client.close()
+
+    # Steps of the graceful stop
+
+    def leave(self) -> None:
+        """Leave look-ups and hand the targets over."""
+        self._left_at = self._clock.monotonic()
+        self._node.leaving = True
+        self._node.view_changed(self._view())
+
+    def lookups_lapse_at(self) -> float:
+        """Return when the last look-up that may name this entry has lapsed."""
+        spread = LEAVE_SPREAD_PROBES * self._settings.probe_interval_s
+        policy = self._node.policy
+        lifetime = policy.lookup_lifetime if policy is not None else 0.0
+        return self._left_at + spread + lifetime if policy is not None else self._left_at
+
+    def open_requests(self) -> int:
+        """Return how many requests have not ended."""
+        return self._carrier.open_requests if self._carrier is not None else 0
+
+    async def close_server(self) -> None:
+        """Take no new connections."""
+        await self._server.close()
+
+    async def write_outcomes(self) -> None:
+        """Leave what became of this entry's keys in the store."""
+        core = self._node.core
+        if core is None:
+            return
+        pages = outcomes_of(core.keys)
+        for page in pages:
+            if not await self._write_page(page):
+                logs.event("outcomes-lost", logging.ERROR, object=page.name)
+                return
+        logs.event("outcomes-written", pages=len(pages), keys=len(core.keys))
+
+    async def _write_page(self, page: OutcomePage) -> bool:
+        for _ in range(OUTCOME_TRIES):
+            try:
+                await self.store.put(page.name, page.value, ABSENT)
+                return True
+            except StoreConflictError:
+                # Nobody else writes pages of this incarnation: an earlier try took effect.
+                return True
+            except StoreError:
+                await asyncio.sleep(OUTCOME_PAUSE)
+        return False
+
+    # Wiring
+
+    def _core_made(self, core: Core) -> None:
+        """Carry requests from now on."""
+        claims = Claims(self.store, self._incarnation, secrets.token_urlsafe)
+        settings = CarrySettings(
+            self._settings.entry_id,
+            self._settings.limits.remembered_answer_bytes,
+            self._connections_of,
+            self._clock.wall,
+        )
+        self._carrier = Carrier(
+            core,
+            self._client,
+            self._reactor,
+            ObjectKeyStore(self.store, claims),
+            self._node,
+            settings,
+            self._node.pacing,
+        )
+        self._node.on_actions = self._carrier.carry_out
+        self._server.arrivals = self._carrier
+        self._node.view_changed(self._view())
+
+    def _connections_of(self, target_id: str) -> int:
+        policy = self._node.policy
+        target = policy.targets_by_id.get(target_id) if policy is not None else None
+        return target.connections if target is not None else DEFAULT_CONNECTIONS
+
+    def _view(self) -> MemberView:
+        me = ViewedMember(
+            self._address,
+            self._incarnation,
+            self._node.region,
+            self._settings.zone,
+            leaving=self._node.leaving,
+        )
+        return MemberView({self._settings.entry_id: me})
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        task.add_done_callback(self._ended)
+        self._tasks.append(task)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            error = task.exception()
+            if error is not None:
+                logs.event("internal-error", logging.ERROR, error=repr(error))
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the entry."""
+    return run("briarspur-entry", EntrySettings, EntryDaemon, argv)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/briarspur/keystore.py
@@ -0,0 +1,60 @@
+"""Claims and left outcomes of keys, as the carrier of requests asks for them."""
+
+from briarspur.coord.claims import ClaimOurs, Claims, ClaimTaken
+from briarspur.coord.keys import Key, parse_key
+from briarspur.coord.outcomes import (
+    FinishedOutcome,
+    Outcome,
+    WrongPage,
+    page_name,
+    read_outcome,
+)
+from briarspur.coord.store import ObjectStore
+from briarspur.interfaces import FetchedOutcome
+from briarspur.messages import Answer, ClaimResult
+
+__all__ = ["ObjectKeyStore"]
+
+
+class ObjectKeyStore:
+    """Keys in the object store.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Holds the outcomes that other incarnations left.
+    claims : Claims
+        Claims of this incarnation.
+    """
+
+    def __init__(self, store: ObjectStore, claims: Claims) -> None:
+        self._store = store
+        self._claims = claims
+
+    async def claim(self, key: str, body_digest: bytes) -> ClaimResult:
+        """Claim a foreign key."""
+        parsed = parse_key(key)
+        if parsed.is_error():
+            return ClaimResult.UNSETTLED
+        outcome = await self._claims.claim(parsed.ok, body_digest)
+        if isinstance(outcome, ClaimOurs):
+            return ClaimResult.OURS
+        return ClaimResult.TAKEN if isinstance(outcome, ClaimTaken) else ClaimResult.UNSETTLED
+
+    async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
+        """Read what a gone incarnation recorded about a key."""
+        parsed = parse_key(key)
+        if parsed.is_error():
+            return FetchedOutcome(found=False)
+        outcome = await self._read(page_name(incarnation), parsed.ok)
+        if isinstance(outcome, WrongPage):
+            outcome = await self._read(outcome.name, parsed.ok)
+        if not isinstance(outcome, FinishedOutcome):
+            return FetchedOutcome(found=False)
+        kept = outcome.answer
+        answer = Answer(kept.status, kept.headers, kept.body) if kept is not None else None
+        return FetchedOutcome(found=True, answer=answer)
+
+    async def _read(self, name: str, key: Key) -> Outcome | None:
+        found = await self._store.get(name)
+        return read_outcome(found.value, key) if found is not None else None
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -15,6 +15,11 @@
 EVENTS: dict[str, str] = {
     "started": "the daemon listens",
     "stopping": "a graceful stop began",
+    "stop-leaving": "the entry left look-ups and handed its targets over, and serves on",
+    "stop-finishing": "cached look-ups have lapsed; requests in flight are being finished",
+    "outcomes-written": "what became of this entry's keys is in the store",
+    "outcomes-lost": "the store did not take the outcomes; repeats will be told `unknown`",
+    "store-unavailable": "an object could not be read; what is in force stays",
     "stopped": "the daemon has ended what it had in flight",
     "settings-invalid": "the settings file is not valid",
     "policy-in-force": "a version of the policy came into force",
--- /dev/null
+++ b/briarspur/node.py
@@ -0,0 +1,257 @@
+"""What an entry has in force: policy, members, look-ups; and what it says of itself."""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Result
+
+from briarspur import logs
+from briarspur.blocks import BlockTable
+from briarspur.codes import Code
+from briarspur.coord.invariants import invariants
+from briarspur.coord.store import StoredObject
+from briarspur.core import Core, CoreSettings
+from briarspur.errors import DocumentError
+from briarspur.levels import Levels
+from briarspur.lookup import LookupTable
+from briarspur.members import MemberView
+from briarspur.messages import Action, Refusal, Request
+from briarspur.metrics import Metrics
+from briarspur.pacing import RegionPacing
+from briarspur.policy import Policy, compile_policy
+from briarspur.revision import decode_revision
+from briarspur.settings import EntrySettings
+from briarspur.status import BudgetStatus, DrainStatus, EntryStatus
+
+__all__ = ["EntryNode", "NodeClock"]
+
+NOT_READY_RETRY_AFTER = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class NodeClock:
+    """Monotonic and unix time, both in seconds."""
+
+    monotonic: Callable[[], float] = time.monotonic
+    wall: Callable[[], float] = time.time
+
+
+class EntryNode:
+    """State of one entry around its decision core.
+
+    Attributes
+    ----------
+    core : Core or None
+        None until the first policy says which region the entry is in.
+    on_core : callable
+        Called once, when there is a core; gives it the first view of the members.
+    on_actions : callable
+        Carries out actions that a change of policy or members brings.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, incarnation: str, metrics: Metrics, clock: NodeClock
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.core: Core | None = None
+        self.policy: Policy | None = None
+        self.view = MemberView()
+        self.pacing = RegionPacing()
+        self.leaving = False
+        self.on_core: Callable[[Core], None] = lambda core: None
+        self.on_actions: Callable[[list[Action]], None] = lambda actions: None
+        self.plan_version = 0
+        self._metrics = metrics
+        self._clock = clock
+        self._started = clock.monotonic()
+        self._levels = Levels(settings.entry_id, incarnation, settings.zone, self._started)
+        self._blocks: BlockTable | None = None
+        self._lookups: LookupTable | None = None
+        self._leaving_seen_by_target: dict[str, float] = {}
+        self._last_lookup = -float("inf")
+
+    @property
+    def region(self) -> str:
+        """The region of this entry's zone; empty until there is a policy that knows the zone."""
+        if self.policy is None:
+            return ""
+        return self.policy.zone_regions.get(self.settings.zone, "")
+
+    # What is in force
+
+    def policy_stored(self, stored: StoredObject) -> bool:
+        """Take a version of the policy; return whether it came into force.
+
+        An older version is ignored and counted: reads and watches of the store may show the past,
+        and a policy that went back would undo a drain.
+        """
+        if self.policy is not None and stored.version <= self.policy.version:
+            if stored.version < self.policy.version:
+                self._metrics.count("old_versions_ignored", stored.name)
+            return False
+        try:
+            document = decode_revision(stored.value, stored.version).document
+        except DocumentError as error:
+            logs.event("policy-rejected", logging.ERROR, version=stored.version, error=str(error))
+            return False
+        policy = compile_policy(document, stored.version)
+        if self.settings.zone not in policy.zone_regions:
+            logs.event(
+                "policy-rejected",
+                logging.ERROR,
+                version=stored.version,
+                error=f"does not name the zone {self.settings.zone} of this entry",
+            )
+            return False
+        self._put_in_force(policy)
+        return True
+
+    def _put_in_force(self, policy: Policy) -> None:
+        now = self._clock.monotonic()
+        self.policy = policy
+        blocks = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
+        self._blocks = blocks
+        self.pacing.policy_accepted(policy, now)
+        latency_by_service = {
+            name: service.objective.latency for name, service in policy.services_by_name.items()
+        }
+        self._levels.set_objectives(latency_by_service)
+        is_first = self.core is None
+        core = self.core or self._make_core(now)
+        actions = core.policy_accepted(policy, blocks.home, now)
+        if is_first:
+            self.on_core(core)
+        self._renew_lookups(core)
+        self._metrics.gauge("policy_version", policy.version)
+        logs.event("policy-in-force", version=policy.version, entry=self.settings.entry_id)
+        self.on_actions(actions)
+
+    def _make_core(self, now: float) -> Core:
+        seed = self.settings.seed
+        # Request order and keys must not be guessed by callers, so the seed is the system's.
+        rng = random.Random(seed if seed is not None else random.SystemRandom().getrandbits(64))
+        core_settings = CoreSettings(
+            queue_limit=self.settings.limits.queued,
+            remembered_keys=self.settings.limits.remembered_keys,
+        )
+        self.core = Core(
+            self.settings.entry_id, self.region, self.incarnation, rng, now, core_settings
+        )
+        return self.core
+
+    def view_changed(self, view: MemberView) -> None:
+        """Take a new view of the live entries."""
+        self.view = view
+        if self.core is None:
+            return
+        self.on_actions(self.core.view_changed(view, self._clock.monotonic()))
+        self._renew_lookups(self.core)
+
+    def _renew_lookups(self, core: Core) -> None:
+        if self.policy is not None:
+            self._lookups = LookupTable(self.policy, self.view, core.rule)
+
+    # Look-ups
+
+    def look_up(self, service: str, block: int) -> Result[bytes, Refusal]:
+        """Answer a look-up with a JSON document."""
+        if self._lookups is None or self._blocks is None:
+            return Error(Refusal(Code.NOT_READY, retry_after=NOT_READY_RETRY_AFTER))
+        self._last_lookup = self._clock.monotonic()
+        home = self._blocks.home(block)
+        return self._lookups.answer(service, block, home, self._clock.wall())
+
+    def lookups_lapse_at(self) -> float:
+        """Return when the last look-up handed out has lapsed, on the monotonic clock."""
+        lifetime = self.policy.lookup_lifetime if self.policy is not None else 0.0
+        return self._last_lookup + lifetime
+
+    # What the carrier tells
+
+    def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
+        """Count a final answer to a caller; what came from another entry is counted there."""
+        if request.forwarded_by is not None or self.policy is None:
+            return
+        self._metrics.count("answers", code.name)
+        service = self._service_of(request.path)
+        if service:
+            self._metrics.timing("answer_ms", seconds * 1000.0, service)
+            self._levels.record(service, region or self.region, int(code), seconds)
+
+    def _service_of(self, path: str) -> str:
+        assert self.policy is not None
+        for service in self.policy.services_by_name.values():
+            base = service.path.rstrip("/")
+            if path.startswith(base) and path[len(base) : len(base) + 1] in ("", "/", "?"):
+                return service.name
+        return ""
+
+    def target_leaving(self, target_id: str) -> None:
+        """Give no new work to a backend server that says so in an answer, and tell the others."""
+        now = self._clock.monotonic()
+        self._leaving_seen_by_target.setdefault(target_id, now)
+        if self.core is not None:
+            self.core.exchange.target_leaving(target_id, now, now)
+
+    # What the entry says of itself
+
+    def is_ready(self) -> bool:
+        """Return whether callers may come."""
+        return not self.leaving and self.core is not None and self.core.ready()
+
+    def status(self) -> dict[str, object]:
+        """Return the fields of the status page."""
+        now = self._clock.monotonic()
+        status = EntryStatus(
+            entry_id=self.settings.entry_id,
+            incarnation=self.incarnation,
+            region=self.region,
+            zone=self.settings.zone,
+            ready=self.is_ready(),
+            policy_version=self.policy.version if self.policy else 0,
+            plan_version=self.plan_version,
+            drains=self._drains(now),
+            budgets=self._budgets(now),
+        )
+        core = self.core
+        return {
+            **status.model_dump(mode="json"),
+            "leaving": self.leaving,
+            "members": sorted(self.view.by_id),
+            "in_flight": core.in_flight() if core else 0,
+            "open_requests": core.open_requests() if core else 0,
+            "keys": len(core.keys) if core else 0,
+            "invariant_violations": dict(invariants.violations_by_name),
+        }
+
+    def service_levels(self) -> dict[str, object]:
+        """Return the counts of the service-level page."""
+        return self._levels.snapshot(self._clock.monotonic())
+
+    def _drains(self, now: float) -> list[DrainStatus]:
+        if self.core is None:
+            return []
+        drains = []
+        for targets in self.core.placement.targets_by_service.values():
+            for target_id, own in targets.by_id.items():
+                if own.leaving(now):
+                    since = self._leaving_seen_by_target.setdefault(target_id, now)
+                    drains.append(
+                        DrainStatus(
+                            target_id=target_id, in_flight=own.in_flight, seconds=now - since
+                        )
+                    )
+                else:
+                    self._leaving_seen_by_target.pop(target_id, None)
+        return drains
+
+    def _budgets(self, now: float) -> list[BudgetStatus]:
+        if self.core is None or self.policy is None:
+            return []
+        account = self.core.account
+        left, held = account.free(now, now), account.held(now)
+        return [BudgetStatus(name=account.resource, left=left, limit=held)]
--- a/briarspur/server.py
+++ b/briarspur/server.py
@@ -13,6 +13,7 @@
 from briarspur.channel import ChannelClock, ChannelFactory
 from briarspur.codes import Code
 from briarspur.inbound import read_forwarded, read_lookup, read_request
+from briarspur.levels import LEVELS_PATH
 from briarspur.messages import Answer, Refusal
 from briarspur.metrics import Metrics
 from briarspur.settings import LimitSettings
@@ -25,7 +26,8 @@
 LOOKUP_PATH = b"/v1/lookup"
 NOT_READY_RETRY_AFTER = 1.0
 BACKLOG = 1_024
-STATUS_PATHS = frozenset({b"/healthz", b"/readyz", b"/status"})
+LEVELS_PAGE = LEVELS_PATH.encode()
+STATUS_PATHS = frozenset({b"/healthz", b"/readyz", b"/status", LEVELS_PAGE})
 
 
 class StatusPages(Protocol):
@@ -37,6 +39,9 @@
     def status(self) -> dict[str, object]:
         """Return the fields of the status page."""
 
+    def service_levels(self) -> dict[str, object]:
+        """Return the counts of the service-level page."""
+
 
 class PortAddress(Protocol):
     """The address of a listening port."""
@@ -89,7 +94,7 @@
         metrics: Metrics,
         settings: ServerSettings,
     ) -> None:
-        self.arrivals = arrivals
+        self.arrivals: Arrivals = arrivals
         self.lookup = lookup
         self.pages = pages
         self.clock: ChannelClock = reactor
@@ -189,7 +194,11 @@
         if path == b"/readyz" and not pages.is_ready():
             self.refuse(Refusal(Code.NOT_READY, retry_after=NOT_READY_RETRY_AFTER))
             return
-        shown = pages.status() if path == b"/status" else {"ok": True}
+        shown: dict[str, object] = {"ok": True}
+        if path == b"/status":
+            shown = pages.status()
+        elif path == LEVELS_PAGE:
+            shown = pages.service_levels()
         body = json.dumps(shown).encode() + b"\n"
         self.reply(Answer(200, ((b"Content-Type", b"application/json"),), body), Code.ANSWERED)
 
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -289,3 +289,6 @@
 
     def status(self) -> dict[str, object]:
         return {"entry": "entry-1"}
+
+    def service_levels(self) -> dict[str, object]:
+        return {}
