Carry messages between entries over gRPC; uncount a move that was not sent

A move that the region refused after it was taken from the shift budget counted as carried, so the next window could carry as much without drawing on the cap; give_back takes it back.

--- /dev/null
+++ b/briarspur/peerwire.py
@@ -0,0 +1,212 @@
+"""Conversion between the typed messages of entries and their protobuf form."""
+
+from collections.abc import Iterable
+
+from briarspur import peer_pb2 as pb
+from briarspur.coord.members import Member, MemberState, MemberUpdate
+from briarspur.coord.quarantine import Verdict
+from briarspur.exchange import LeavingNotice, News
+from briarspur.gossip import BorrowAsked, Gossip, ObjectCopy, ObjectVersion, PeerProbe, PeerReply
+from briarspur.loads import LoadReport
+
+__all__ = [
+    "borrow_from_wire",
+    "borrow_to_wire",
+    "copy_from_wire",
+    "copy_to_wire",
+    "probe_from_wire",
+    "probe_to_wire",
+    "reply_from_wire",
+    "reply_to_wire",
+    "updates_from_wire",
+    "updates_to_wire",
+]
+
+MS = 1_000
+
+
+def probe_to_wire(probe: PeerProbe) -> pb.ProbeRequest:
+    """Return the wire form of a probe."""
+    return pb.ProbeRequest(
+        sender=probe.sender,
+        receiver=probe.receiver,
+        number=probe.number,
+        piggyback=_gossip_to_wire(probe.gossip),
+    )
+
+
+def probe_from_wire(message: pb.ProbeRequest) -> PeerProbe:
+    """Return the probe of a message.
+
+    Raises
+    ------
+    ValueError
+        A field is out of range.
+    """
+    gossip = _gossip_from_wire(message.piggyback)
+    return PeerProbe(message.sender, message.receiver, message.number, gossip)
+
+
+def reply_to_wire(reply: PeerReply) -> pb.ProbeReply:
+    """Return the wire form of a reply."""
+    return pb.ProbeReply(
+        sender=reply.sender,
+        number=reply.number,
+        acknowledged=reply.acknowledged,
+        piggyback=_gossip_to_wire(reply.gossip),
+    )
+
+
+def reply_from_wire(message: pb.ProbeReply) -> PeerReply:
+    """Return the reply of a message; ValueError if a field is out of range."""
+    gossip = _gossip_from_wire(message.piggyback)
+    return PeerReply(message.sender, message.number, message.acknowledged, gossip)
+
+
+def copy_to_wire(copy: ObjectCopy) -> pb.ObjectCopy:
+    """Return the wire form of an object."""
+    return pb.ObjectCopy(name=copy.name, version=copy.version, digest=copy.digest, value=copy.value)
+
+
+def copy_from_wire(message: pb.ObjectCopy) -> ObjectCopy:
+    """Return the object of a message."""
+    return ObjectCopy(message.name, message.version, message.digest, message.value)
+
+
+def borrow_to_wire(asked: BorrowAsked) -> pb.BorrowRequest:
+    """Return the wire form of a request to borrow."""
+    return pb.BorrowRequest(
+        sender=asked.sender,
+        resource=asked.resource,
+        amount=asked.amount,
+        transfer_id=asked.transfer_id,
+        lifetime_ms=_to_ms(asked.lifetime),
+    )
+
+
+def borrow_from_wire(message: pb.BorrowRequest) -> BorrowAsked:
+    """Return the request to borrow of a message."""
+    return BorrowAsked(
+        message.sender,
+        message.resource,
+        message.amount,
+        message.transfer_id,
+        message.lifetime_ms / MS,
+    )
+
+
+def updates_to_wire(updates: Iterable[MemberUpdate]) -> bytes:
+    """Return facts about members as one value, for a process that has just begun."""
+    message = pb.Piggyback(members=[_update_to_wire(update) for update in updates])
+    return message.SerializeToString()
+
+
+def updates_from_wire(value: bytes) -> tuple[MemberUpdate, ...]:
+    """Return the facts of a value made by :func:`updates_to_wire`.
+
+    Raises
+    ------
+    ValueError
+        The value is not of that form.
+    """
+    message = pb.Piggyback()
+    try:
+        message.ParseFromString(value)
+    except Exception as error:
+        raise ValueError("not a list of members") from error
+    return tuple(_update_from_wire(update) for update in message.members)
+
+
+def _gossip_to_wire(gossip: Gossip) -> pb.Piggyback:
+    news = gossip.news
+    return pb.Piggyback(
+        members=[_update_to_wire(update) for update in gossip.updates],
+        objects=[
+            pb.ObjectVersion(name=o.name, version=o.version, digest=o.digest)
+            for o in gossip.objects
+        ],
+        loads=[
+            pb.Load(
+                entry_id=load.entry_id,
+                service=load.service,
+                free_slots=load.free_slots,
+                queued=load.queued,
+            )
+            for load in news.loads
+        ],
+        verdicts=[_verdict_to_wire(verdict) for verdict in news.verdicts],
+        leaving=[
+            pb.LeavingTarget(target_id=notice.target_id, age_ms=_to_ms(notice.age))
+            for notice in news.leaving
+        ],
+    )
+
+
+def _gossip_from_wire(message: pb.Piggyback) -> Gossip:
+    news = News(
+        loads=tuple(
+            LoadReport(load.entry_id, load.service, load.free_slots, load.queued)
+            for load in message.loads
+        ),
+        verdicts=tuple(_verdict_from_wire(verdict) for verdict in message.verdicts),
+        leaving=tuple(LeavingNotice(n.target_id, n.age_ms / MS) for n in message.leaving),
+    )
+    return Gossip(
+        updates=tuple(_update_from_wire(update) for update in message.members),
+        objects=tuple(ObjectVersion(o.name, o.version, o.digest) for o in message.objects),
+        news=news,
+    )
+
+
+def _update_to_wire(update: MemberUpdate) -> pb.MemberUpdate:
+    member = update.member
+    return pb.MemberUpdate(
+        entry_id=member.member_id,
+        incarnation=member.incarnation,
+        incarnation_number=update.number,
+        state=pb.MemberState.Name(int(update.state)),
+        region=member.region,
+        zone=member.zone,
+        host=member.host,
+        caller_port=member.caller_port,
+        forward_port=member.forward_port,
+        peer_port=member.peer_port,
+    )
+
+
+def _update_from_wire(message: pb.MemberUpdate) -> MemberUpdate:
+    member = Member(
+        message.entry_id,
+        message.incarnation,
+        message.region,
+        message.zone,
+        message.host,
+        message.caller_port,
+        message.forward_port,
+        message.peer_port,
+    )
+    return MemberUpdate(member, message.incarnation_number, MemberState(message.state))
+
+
+def _verdict_to_wire(verdict: Verdict) -> pb.Verdict:
+    return pb.Verdict(
+        digest=verdict.digest,
+        crashes=verdict.crashes,
+        quarantined=verdict.quarantined,
+        age_ms=_to_ms(verdict.age),
+        lifetime_ms=_to_ms(verdict.lifetime),
+    )
+
+
+def _verdict_from_wire(message: pb.Verdict) -> Verdict:
+    return Verdict(
+        message.digest,
+        message.crashes,
+        message.quarantined,
+        message.age_ms / MS,
+        message.lifetime_ms / MS,
+    )
+
+
+def _to_ms(seconds: float) -> int:
+    return max(0, round(seconds * MS))
--- a/tests/coord/test_shift.py
+++ b/tests/coord/test_shift.py
@@ -64,6 +64,16 @@
         take_many(self.budget, "south", "planned", 0.0, 9)
         self.assertEqual(take_many(self.budget, "south", "planned", 10.0, 9), 2)
 
+    def test_what_was_not_sent_does_not_count_as_carried(self) -> None:
+        """A region that refused all traffic for a window gets it all at once in the next.
+
+        Requests that the region refused had been counted as carried there.
+        """
+        take_many(self.budget, "south", "emergency", 0.0, 4)
+        for _ in range(4):
+            self.budget.give_back("times", "north", "south", 0.0)
+        self.assertEqual(take_many(self.budget, "south", "emergency", 5.0, 9), 4)
+
     def test_a_clock_that_goes_back_opens_no_window(self) -> None:
         take_many(self.budget, "south", "planned", 5.0, 9)
         self.assertEqual(take_many(self.budget, "south", "planned", 4.0, 9), 0)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,112 @@
+"""Tests of the gRPC shell between entries."""
+
+import asyncio
+import socket
+import unittest
+
+from briarspur.coord.members import Address, Member, MemberState, MemberUpdate
+from briarspur.coord.quarantine import Verdict
+from briarspur.errors import PeerError
+from briarspur.exchange import LeavingNotice, News
+from briarspur.gossip import BorrowAsked, Gossip, ObjectCopy, ObjectVersion, PeerProbe, PeerReply
+from briarspur.loads import LoadReport
+from briarspur.peers import PeerClient, PeerClientSettings, PeerServer
+from briarspur.peerwire import updates_from_wire, updates_to_wire
+
+MEMBER = Member("entry-1", "a1b2", "north", "north-a", "127.0.0.1", 1, 2, 3)
+GOSSIP = Gossip(
+    updates=(MemberUpdate(MEMBER, 7, MemberState.SUSPECT),),
+    objects=(ObjectVersion("policy", 4, b"digest"),),
+    news=News(
+        loads=(LoadReport("entry-1", "times", 3, 1),),
+        verdicts=(Verdict(b"poison", 2, True, 1.5, 600.0),),
+        leaving=(LeavingNotice("times-north-1", 0.25),),
+    ),
+)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class EchoHandler:
+    """Answers with what it got; some calls never end."""
+
+    def __init__(self) -> None:
+        self.copies = {"policy": ObjectCopy("policy", 4, b"digest", b"{}")}
+        self.hang = False
+
+    def probed(self, probe: PeerProbe) -> PeerReply:
+        return PeerReply("entry-2", probe.number, True, probe.gossip)
+
+    async def probed_via(self, probe: PeerProbe) -> PeerReply:
+        return PeerReply("entry-2", probe.number, False, probe.gossip)
+
+    async def fetched(self, name: str, newer_than: int) -> ObjectCopy | None:
+        copy = self.copies.get(name)
+        return copy if copy is not None and copy.version > newer_than else None
+
+    async def offered(self, copy: ObjectCopy) -> int:
+        if self.hang:
+            await asyncio.sleep(60.0)
+        self.copies[copy.name] = copy
+        return copy.version
+
+    def asked_to_lend(self, asked: BorrowAsked) -> int:
+        return min(asked.amount, 2)
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """Messages pass whole, and failures have one type."""
+
+    async def asyncSetUp(self) -> None:
+        self.handler = EchoHandler()
+        self.server = PeerServer(self.handler)
+        port = free_port()
+        await self.server.start("127.0.0.1", port)
+        self.address = Address("127.0.0.1", port)
+        self.client = PeerClient(PeerClientSettings(fetch_timeout=0.2, channels=2))
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        await self.server.close()
+
+    async def test_probe_carries_everything(self) -> None:
+        probe = PeerProbe("entry-1", "entry-2", 5, GOSSIP)
+        reply = await self.client.probe(self.address, probe)
+        self.assertEqual(reply, PeerReply("entry-2", 5, True, GOSSIP))
+        reply = await self.client.probe_via(self.address, probe)
+        self.assertFalse(reply.acknowledged)
+
+    async def test_objects_pass_both_ways(self) -> None:
+        self.assertIsNone(await self.client.fetch(self.address, "policy", 4))
+        self.assertIsNone(await self.client.fetch(self.address, "plan", 0))
+        newer = ObjectCopy("policy", 5, b"other", b"x" * 1_000_000)
+        self.assertEqual(await self.client.offer(self.address, newer), 5)
+        self.assertEqual(await self.client.fetch(self.address, "policy", 4), newer)
+
+    async def test_loans(self) -> None:
+        asked = BorrowAsked("entry-1", "in-flight/north", 5, "t1", 10.0)
+        self.assertEqual(await self.client.borrow(self.address, asked), 2)
+
+    async def test_silence_and_refused_connections_are_peer_errors(self) -> None:
+        self.handler.hang = True
+        with self.assertRaises(PeerError):
+            await self.client.offer(self.address, ObjectCopy("policy", 9, b"", b""))
+        with self.assertRaises(PeerError):
+            await self.client.fetch(Address("127.0.0.1", 1), "policy", 0)
+
+    async def test_connections_are_bounded(self) -> None:
+        for host in ("127.0.0.1", "127.0.0.2", "127.0.0.3"):
+            with self.assertRaises(PeerError):
+                await self.client.fetch(Address(host, 1), "policy", 0)
+        self.assertEqual(len(self.client._kept_by_address), 0)
+        await self.client.fetch(self.address, "policy", 0)
+        self.assertEqual(len(self.client._kept_by_address), 1)
+
+    def test_members_as_one_value(self) -> None:
+        self.assertEqual(updates_from_wire(updates_to_wire(GOSSIP.updates)), GOSSIP.updates)
+        with self.assertRaises(ValueError):
+            updates_from_wire(b"\xff\xff")
