--- /dev/null
+++ b/briarspur/steerround.py
@@ -0,0 +1,172 @@
+"""One holder's work under the lease: measure, plan, write the plan fenced by the lease's term."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from expression import Result
+
+from briarspur import logs
+from briarspur.coord.envelope import Envelope, open_envelope
+from briarspur.coord.errors import StoreError, StoreUnavailableError
+from briarspur.coord.store import ObjectStore, StoredObject
+from briarspur.coord.writer import Unsettled, Written
+from briarspur.errors import DocumentError
+from briarspur.loadreport import LoadDocument
+from briarspur.metrics import Metrics
+from briarspur.plan import PlanDocument, parse_plan
+from briarspur.planner import Planner
+from briarspur.policy import Policy, compile_policy
+from briarspur.revision import POLICY_NAME, decode_revision
+
+__all__ = ["Holding", "PlanWriter", "PolicyReader", "SteerRounds"]
+
+
+class Holding(Protocol):
+    """The lease, as far as a round needs it."""
+
+    term: int
+
+    def held(self, now: float) -> bool:
+        """Whether this process may act at ``now``."""
+
+
+class PlanWriter(Protocol):
+    """Writes the plan's object under the lease."""
+
+    @property
+    def base(self) -> StoredObject | None:
+        """The object the next write is based on."""
+
+    async def write(self, body: str, now: float) -> object:
+        """Write; anything but ``Written`` means that the plan may not be in force."""
+
+
+class PolicyReader:
+    """Reads the policy; a read older than the last one, or a faulty one, changes nothing."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self.policy: Policy | None = None
+
+    async def read(self) -> Policy | None:
+        """Return the newest policy seen; None if there was none yet."""
+        try:
+            found = await self._store.get(POLICY_NAME)
+        except StoreError:
+            return self.policy
+        if found is None or (self.policy is not None and found.version <= self.policy.version):
+            return self.policy
+        try:
+            revision = decode_revision(found.value, found.version)
+        except DocumentError as error:
+            logs.event("policy-rejected", logging.WARNING, version=found.version, error=str(error))
+            return self.policy
+        self.policy = compile_policy(revision.document, found.version)
+        return self.policy
+
+
+class SteerRounds:
+    """Plans while the lease is held.
+
+    Parameters
+    ----------
+    lease : Holding
+    writer : PlanWriter
+    policies : PolicyReader
+    planner : Planner
+    collect : callable
+        Returns the load reports that came.
+    clock : callable
+        Monotonic seconds.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        lease: Holding,
+        writer: PlanWriter,
+        policies: PolicyReader,
+        planner: Planner,
+        collect: Callable[[], Awaitable[list[LoadDocument]]],
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._lease = lease
+        self._writer = writer
+        self._policies = policies
+        self._planner = planner
+        self._collect = collect
+        self._clock = clock
+        self._metrics = metrics
+        self._term = 0
+        self.last_plan: PlanDocument | None = None
+        self.entries_reporting = 0
+        self.policy_version = 0
+        self.headroom: dict[tuple[str, str], float] = {}
+
+    async def run(self) -> bool:
+        """Do one round; return whether a plan was written."""
+        if not self._lease.held(self._clock()):
+            self._term = 0
+            return False
+        if self._term != self._lease.term:
+            self._begin()
+        policy = await self._policies.read()
+        reports = await self._collect()
+        now = self._clock()
+        self.entries_reporting = len(reports)
+        for report in reports:
+            self._planner.reported(report, now)
+        if policy is None:
+            return False
+        self.policy_version = policy.version
+        self._measure(policy, now)
+        plan = self._planner.plan(policy, now)
+        return plan is not None and await self._write(plan)
+
+    def _begin(self) -> None:
+        """Go on from the plan that is in the store, under a new term."""
+        self._term = self._lease.term
+        self.last_plan = _stored_plan(self._writer.base)
+        self._planner.begin(self._term, self.last_plan, self._clock())
+        logs.event("lease-taken", term=self._term)
+
+    async def _write(self, plan: PlanDocument) -> bool:
+        try:
+            outcome = await self._writer.write(plan.model_dump_json(), self._clock())
+        except StoreUnavailableError as error:
+            outcome = error
+        if isinstance(outcome, Written):
+            self.last_plan = plan
+            self._metrics.count("plans_written")
+            logs.event("plan-written", term=plan.term, number=plan.number)
+            return True
+        logs.event("plan-not-written", logging.WARNING, term=plan.term, outcome=repr(outcome))
+        if isinstance(outcome, Unsettled):
+            # It may be in force: the next holder of a term reads it and goes on from there.
+            return False
+        # The planner took the step for done; start again from what is in force.
+        self._planner.begin(self._term, self.last_plan, self._clock())
+        return False
+
+    def _measure(self, policy: Policy, now: float) -> None:
+        self.headroom = self._planner.headroom(policy, now)
+        for (service, region), rate in self.headroom.items():
+            self._metrics.gauge("headroom", rate, f"{service}.{region}")
+        self._metrics.gauge("entries_reporting", self.entries_reporting)
+
+
+def _stored_plan(stored: StoredObject | None) -> PlanDocument | None:
+    """Return the plan in the store; a faulty or absent one counts as none."""
+    if stored is None:
+        return None
+    opened: Result[Envelope, str] = open_envelope(stored.value)
+    envelope = opened.default_value(None)
+    if envelope is None or not envelope.body:
+        return None
+    try:
+        return parse_plan(envelope.body)
+    except DocumentError as error:
+        logs.event("plan-rejected", logging.WARNING, error=str(error))
+        return None
