--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -152,6 +152,7 @@
         now = self._clock.seconds()
         request = inbound.request
         self._requests_by_id[request.request_id] = OpenRequest(inbound, now, inbound.caller)
+        self._observer.arrived(request)
         self.carry_out(self._core.request_arrived(request, now, self._settings.wall()))
 
     def caller_gone(self, request_id: str) -> None:
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -14,17 +14,21 @@
 from briarspur.carry import Carrier, CarrySettings
 from briarspur.coord.claims import Claims
 from briarspur.coord.errors import StoreConflictError, StoreError
+from briarspur.coord.members import Member
+from briarspur.coord.membership import Membership
 from briarspur.coord.outcomes import OutcomePage, outcomes_of
 from briarspur.coord.store import ABSENT
 from briarspur.core import Core
 from briarspur.daemon import run
+from briarspur.inforce import InForce
 from briarspur.keystore import ObjectKeyStore
-from briarspur.members import MemberView, ViewedMember
-from briarspur.messages import EntryAddress
 from briarspur.metrics import Metrics, NullMetrics, StatsdMetrics
 from briarspur.node import EntryNode, NodeClock
 from briarspur.notready import NotReady
-from briarspur.objects import HttpObjectStore
+from briarspur.objects import HttpObjectStore, VmList
+from briarspur.peering import Peering, PeeringTimes
+from briarspur.peers import PeerClient, PeerServer
+from briarspur.plan import PLAN_NAME
 from briarspur.revision import POLICY_NAME
 from briarspur.server import EntryServer, ServerSettings
 from briarspur.settings import EntrySettings
@@ -53,12 +57,23 @@
         self._incarnation = secrets.token_hex(8)
         self._clock = NodeClock(monotonic=self._reactor.seconds)
         self.store = HttpObjectStore(settings.platform)
+        self._vms = VmList(settings.platform)
         self._client = BackendClient(self._reactor)
+        self._peers = PeerClient()
+        self._peering: Peering | None = None
+        self._peer_server: PeerServer | None = None
+        # Probe order and pauses must differ between entries, or they would all act at once.
+        self._rng = random.Random(
+            settings.seed if settings.seed is not None else secrets.randbits(64)
+        )
         self._metrics: Metrics = NullMetrics()
         if settings.statsd is not None:
             self._metrics = StatsdMetrics(settings.statsd)
         self._node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
         self._node.on_core = self._core_made
+        self._in_force = InForce(
+            {POLICY_NAME: self._node.policy_stored, PLAN_NAME: self._node.plan_stored}
+        )
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
@@ -75,15 +90,15 @@
         """Listen, and begin to follow the policy."""
         settings = self._settings
         ports = self._server.listen(settings.host, settings.caller_port, settings.forward_port)
-        self._address = EntryAddress(settings.entry_id, settings.host, *ports, settings.peer_port)
-        rng = random.Random(settings.seed)
-        watch = ObjectWatch(self.store, POLICY_NAME, self._node.policy_stored, rng)
-        self._start(watch.run())
+        self._caller_port, self._forward_port = ports
+        for name in (POLICY_NAME, PLAN_NAME):
+            watch = ObjectWatch(self.store, name, self._in_force.take, self._rng)
+            self._start(watch.run())
 
     @property
     def caller_port(self) -> int:
         """The port callers come to."""
-        return self._address.caller_port
+        return self._caller_port
 
     @property
     def incarnation(self) -> str:
@@ -104,6 +119,10 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._peer_server is not None:
+            await self._peer_server.close()
+        self._peers.close()
+        await self._vms.close()
         await self.store.close()
         self._client.close()
 
@@ -113,14 +132,14 @@
         """Leave look-ups and hand the targets over."""
         self._left_at = self._clock.monotonic()
         self._node.leaving = True
-        self._node.view_changed(self._view())
+        if self._peering is not None:
+            self._peering.leave()
 
     def lookups_lapse_at(self) -> float:
         """Return when the last look-up that may name this entry has lapsed."""
         spread = LEAVE_SPREAD_PROBES * self._settings.probe_interval_s
         policy = self._node.policy
-        lifetime = policy.lookup_lifetime if policy is not None else 0.0
-        return self._left_at + spread + lifetime if policy is not None else self._left_at
+        return self._left_at + spread + policy.lookup_lifetime if policy else self._left_at
 
     def open_requests(self) -> int:
         """Return how many requests have not ended."""
@@ -176,23 +195,44 @@
         )
         self._node.on_actions = self._carrier.carry_out
         self._server.arrivals = self._carrier
-        self._node.view_changed(self._view())
+        self._peering = self._make_peering(core)
+        self._peering.show_view()
+        self._peer_server = PeerServer(self._peering)
+        self._start(self._peer_server.start(self._settings.host, self._settings.peer_port))
+        self._start(self._peering.run())
+        self._start(self._peering.follow_list())
+
+    def _make_peering(self, core: Core) -> Peering:
+        settings = self._settings
+        me = Member(
+            member_id=settings.entry_id,
+            incarnation=self._incarnation,
+            region=self._node.region,
+            zone=settings.zone,
+            host=settings.host,
+            caller_port=self._caller_port,
+            forward_port=self._forward_port,
+            peer_port=settings.peer_port,
+        )
+        number, now = int(self._clock.wall()), self._clock.monotonic()
+        return Peering(
+            membership=Membership(me, self._rng, number=number, now=now),
+            core=core,
+            in_force=self._in_force,
+            client=self._peers,
+            vms=self._vms,
+            on_view=self._node.view_changed,
+            load=self._node.load_report,
+            clock=self._clock.monotonic,
+            rng=self._rng,
+            times=PeeringTimes(period=settings.probe_interval_s),
+        )
 
     def _connections_of(self, target_id: str) -> int:
         policy = self._node.policy
         target = policy.targets_by_id.get(target_id) if policy is not None else None
         return target.connections if target is not None else DEFAULT_CONNECTIONS
 
-    def _view(self) -> MemberView:
-        me = ViewedMember(
-            self._address,
-            self._incarnation,
-            self._node.region,
-            self._settings.zone,
-            leaving=self._node.leaving,
-        )
-        return MemberView({self._settings.entry_id: me})
-
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         task.add_done_callback(self._ended)
--- a/briarspur/interfaces.py
+++ b/briarspur/interfaces.py
@@ -39,7 +39,10 @@
 
 
 class CarryObserver(Protocol):
-    """Who counts answers, and learns what backend servers say of themselves."""
+    """Who counts requests and answers, and learns what backend servers say of themselves."""
+
+    def arrived(self, request: Request) -> None:
+        """Count a request."""
 
     def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
         """Count a final answer.
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -19,6 +19,7 @@
     "stop-finishing": "cached look-ups have lapsed; requests in flight are being finished",
     "outcomes-written": "what became of this entry's keys is in the store",
     "outcomes-lost": "the store did not take the outcomes; repeats will be told `unknown`",
+    "peer-unavailable": "an object could not be fetched from another entry",
     "store-unavailable": "an object could not be read; what is in force stays",
     "stopped": "the daemon has ended what it had in flight",
     "settings-invalid": "the settings file is not valid",
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -11,20 +11,24 @@
 from briarspur import logs
 from briarspur.blocks import BlockTable
 from briarspur.codes import Code
+from briarspur.coord.envelope import open_envelope
 from briarspur.coord.invariants import invariants
 from briarspur.coord.store import StoredObject
 from briarspur.core import Core, CoreSettings
 from briarspur.errors import DocumentError
 from briarspur.levels import Levels
+from briarspur.loadreport import LoadMeter, SlotCount
 from briarspur.lookup import LookupTable
 from briarspur.members import MemberView
 from briarspur.messages import Action, Refusal, Request
 from briarspur.metrics import Metrics
 from briarspur.pacing import RegionPacing
+from briarspur.plan import PLAN_NAME, PlanOrder, parse_plan
 from briarspur.policy import Policy, compile_policy
 from briarspur.revision import decode_revision
 from briarspur.settings import EntrySettings
 from briarspur.status import BudgetStatus, DrainStatus, EntryStatus
+from briarspur.target import OwnTargets
 
 __all__ = ["EntryNode", "NodeClock"]
 
@@ -72,7 +76,8 @@
         self._blocks: BlockTable | None = None
         self._lookups: LookupTable | None = None
         self._leaving_seen_by_target: dict[str, float] = {}
-        self._last_lookup = -float("inf")
+        self._plans = PlanOrder()
+        self._meter: LoadMeter | None = None
 
     @property
     def region(self) -> str:
@@ -84,32 +89,45 @@
     # What is in force
 
     def policy_stored(self, stored: StoredObject) -> bool:
-        """Take a version of the policy; return whether it came into force.
-
-        An older version is ignored and counted: reads and watches of the store may show the past,
-        and a policy that went back would undo a drain.
-        """
-        if self.policy is not None and stored.version <= self.policy.version:
-            if stored.version < self.policy.version:
-                self._metrics.count("old_versions_ignored", stored.name)
-            return False
+        """Take a newer version of the policy; return whether it came into force."""
         try:
             document = decode_revision(stored.value, stored.version).document
         except DocumentError as error:
-            logs.event("policy-rejected", logging.ERROR, version=stored.version, error=str(error))
-            return False
+            return self._reject(stored, str(error))
         policy = compile_policy(document, stored.version)
         if self.settings.zone not in policy.zone_regions:
-            logs.event(
-                "policy-rejected",
-                logging.ERROR,
-                version=stored.version,
-                error=f"does not name the zone {self.settings.zone} of this entry",
-            )
-            return False
+            return self._reject(stored, f"does not name this entry's zone {self.settings.zone}")
+        region = self.region
+        if region and policy.zone_regions[self.settings.zone] != region:
+            return self._reject(stored, f"moves this entry's zone out of {region}")
         self._put_in_force(policy)
         return True
 
+    def plan_stored(self, stored: StoredObject) -> bool:
+        """Take a newer version of the plan; return whether it came into force."""
+        envelope = open_envelope(stored.value)
+        if envelope.is_error():
+            return self._reject(stored, envelope.error)
+        try:
+            plan = parse_plan(envelope.ok.body)
+        except DocumentError as error:
+            return self._reject(stored, str(error))
+        if not self._plans.accept(plan):
+            return self._reject(stored, f"term {plan.term} is not newer than what is in force")
+        self.plan_version = stored.version
+        logs.event("plan-in-force", version=stored.version, term=plan.term, holder=plan.holder)
+        self._follow_plan()
+        return True
+
+    def _follow_plan(self) -> None:
+        if self.core is not None and self._plans.in_force is not None:
+            self.core.plan_accepted(self._plans.in_force.as_splits())
+
+    def _reject(self, stored: StoredObject, reason: str) -> bool:
+        event = "plan-rejected" if stored.name == PLAN_NAME else "policy-rejected"
+        logs.event(event, logging.ERROR, version=stored.version, error=reason)
+        return False
+
     def _put_in_force(self, policy: Policy) -> None:
         now = self._clock.monotonic()
         self.policy = policy
@@ -125,6 +143,7 @@
         actions = core.policy_accepted(policy, blocks.home, now)
         if is_first:
             self.on_core(core)
+            self._follow_plan()
         self._renew_lookups(core)
         self._metrics.gauge("policy_version", policy.version)
         logs.event("policy-in-force", version=policy.version, entry=self.settings.entry_id)
@@ -141,6 +160,7 @@
         self.core = Core(
             self.settings.entry_id, self.region, self.incarnation, rng, now, core_settings
         )
+        self._meter = LoadMeter(self.settings.entry_id, self.incarnation, self.region)
         return self.core
 
     def view_changed(self, view: MemberView) -> None:
@@ -161,23 +181,30 @@
         """Answer a look-up with a JSON document."""
         if self._lookups is None or self._blocks is None:
             return Error(Refusal(Code.NOT_READY, retry_after=NOT_READY_RETRY_AFTER))
-        self._last_lookup = self._clock.monotonic()
         home = self._blocks.home(block)
         return self._lookups.answer(service, block, home, self._clock.wall())
 
-    def lookups_lapse_at(self) -> float:
-        """Return when the last look-up handed out has lapsed, on the monotonic clock."""
-        lifetime = self.policy.lookup_lifetime if self.policy is not None else 0.0
-        return self._last_lookup + lifetime
-
     # What the carrier tells
 
+    def arrived(self, request: Request) -> None:
+        """Count a request of a caller; what another entry sent on was counted there."""
+        if request.forwarded_by is not None or self._meter is None or self._blocks is None:
+            return
+        service = self._service_of(request.path)
+        if service:
+            home = self._blocks.home(request.block)
+            self._meter.arrived(service, home, self._clock.monotonic())
+
     def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
-        """Count a final answer to a caller; what came from another entry is counted there."""
-        if request.forwarded_by is not None or self.policy is None:
+        """Count a final answer."""
+        if self.policy is None or self._meter is None:
             return
-        self._metrics.count("answers", code.name)
         service = self._service_of(request.path)
+        if service and region and code is Code.ANSWERED:
+            self._meter.answered(service, seconds, self._clock.monotonic())
+        if request.forwarded_by is not None:
+            return
+        self._metrics.count("answers", code.name)
         if service:
             self._metrics.timing("answer_ms", seconds * 1000.0, service)
             self._levels.record(service, region or self.region, int(code), seconds)
@@ -206,6 +233,7 @@
     def status(self) -> dict[str, object]:
         """Return the fields of the status page."""
         now = self._clock.monotonic()
+        plan = self._plans.in_force
         status = EntryStatus(
             entry_id=self.settings.entry_id,
             incarnation=self.incarnation,
@@ -214,6 +242,8 @@
             ready=self.is_ready(),
             policy_version=self.policy.version if self.policy else 0,
             plan_version=self.plan_version,
+            plan_term=plan.term if plan else 0,
+            plan_holder=plan.holder if plan else "",
             drains=self._drains(now),
             budgets=self._budgets(now),
         )
@@ -232,6 +262,17 @@
         """Return the counts of the service-level page."""
         return self._levels.snapshot(self._clock.monotonic())
 
+    def load_report(self) -> bytes:
+        """Return this entry's load, for the planner."""
+        if self.core is None or self._meter is None:
+            return b""
+        now = self._clock.monotonic()
+        counts = {
+            service: _slot_count(targets, self.core.placement.queued(service), now)
+            for service, targets in self.core.placement.targets_by_service.items()
+        }
+        return self._meter.document(counts, now).model_dump_json().encode()
+
     def _drains(self, now: float) -> list[DrainStatus]:
         if self.core is None:
             return []
@@ -255,3 +296,9 @@
         account = self.core.account
         left, held = account.free(now, now), account.held(now)
         return [BudgetStatus(name=account.resource, left=left, limit=held)]
+
+
+def _slot_count(targets: OwnTargets, queued: int, now: float) -> SlotCount:
+    taking = [own for own in targets.by_id.values() if not own.leaving(now)]
+    warm = sum(min(own.slots, own.ramp.limit(now)) for own in taking)
+    return SlotCount(sum(own.slots for own in taking), warm, queued)
--- /dev/null
+++ b/briarspur/peering.py
@@ -0,0 +1,257 @@
+"""Drives membership and the exchange with other entries: probes, objects, loans of limits."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from briarspur import logs
+from briarspur.coord.errors import StoreError
+from briarspur.coord.members import Address, MemberState, Probe, ProbeOut, Reply
+from briarspur.coord.membership import Membership
+from briarspur.core import Core
+from briarspur.errors import PeerError
+from briarspur.gossip import BorrowAsked, Gossip, ObjectCopy, PeerProbe, PeerReply
+from briarspur.inforce import InForce
+from briarspur.loadreport import LOAD_NAME
+from briarspur.members import MemberView, ViewedMember
+from briarspur.messages import EntryAddress
+from briarspur.objects import Vm
+from briarspur.peers import PeerClient
+
+__all__ = ["Peering", "PeeringTimes", "VmReader"]
+
+MOST_TASKS = 64
+"""Calls to other entries at once; more are left out, and the next period makes new ones."""
+
+
+class VmReader(Protocol):
+    """The platform's list of VMs."""
+
+    async def read(self) -> Sequence[Vm]:
+        """Return the VMs; may be old."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeeringTimes:
+    """Times in seconds.
+
+    Attributes
+    ----------
+    period : float
+        Between two probes.
+    list_interval : float
+        Mean time between two readings of the VM list; 1,700 entries make 170 calls a second.
+    """
+
+    period: float = 1.0
+    list_interval: float = 10.0
+
+
+class Peering:
+    """One entry's exchange with the others; implements ``PeerHandler``.
+
+    Parameters
+    ----------
+    on_view : callable
+        Gets each new view of the live entries.
+    load : callable
+        Returns this entry's load report, for the planner.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        core: Core,
+        in_force: InForce,
+        client: PeerClient,
+        vms: VmReader,
+        on_view: Callable[[MemberView], None],
+        load: Callable[[], bytes],
+        clock: Callable[[], float],
+        rng: random.Random,
+        times: PeeringTimes,
+    ) -> None:
+        self._membership = membership
+        self._core = core
+        self._in_force = in_force
+        self._client = client
+        self._vms = vms
+        self._on_view = on_view
+        self._load = load
+        self._clock = clock
+        self._rng = rng
+        self._times = times
+        self._shown_version = -1
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def _me(self) -> str:
+        return self._membership.me.member_id
+
+    # What others ask; see PeerHandler
+
+    def probed(self, probe: PeerProbe) -> PeerReply:
+        """Answer a probe."""
+        now = self._clock()
+        updates = self._membership.on_probe(Probe(probe.sender, probe.gossip.updates), now)
+        self._heard(probe.sender, probe.gossip)
+        return PeerReply(self._me, probe.number, True, self._gossip(updates))
+
+    async def probed_via(self, probe: PeerProbe) -> PeerReply:
+        """Probe ``probe.receiver`` for the sender, and say whether it answered."""
+        updates = self._membership.on_probe(
+            Probe(probe.sender, probe.gossip.updates), self._clock()
+        )
+        member = self._membership.member(probe.receiver)
+        acknowledged = False
+        if member is not None:
+            asked = PeerProbe(self._me, probe.receiver, probe.number, self._gossip(updates))
+            try:
+                reply = await self._client.probe(member.address, asked)
+                acknowledged = reply.acknowledged
+            except PeerError:
+                acknowledged = False
+        return PeerReply(self._me, probe.number, acknowledged, self._gossip(updates))
+
+    async def fetched(self, name: str, newer_than: int) -> ObjectCopy | None:
+        """Return the object if the version in force here is above ``newer_than``."""
+        if name == LOAD_NAME:
+            return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
+        return self._in_force.copy(name, newer_than)
+
+    async def offered(self, copy: ObjectCopy) -> int:
+        """Take an object, if it is newer; return the version in force here afterwards."""
+        return self._in_force.offered(copy)
+
+    def asked_to_lend(self, asked: BorrowAsked) -> int:
+        """Grant a part of a limit; return how much."""
+        return self._core.exchange.lend(
+            asked.resource, asked.transfer_id, asked.amount, asked.lifetime, self._clock()
+        )
+
+    # What is done unasked
+
+    async def run(self) -> None:
+        """Probe in every period, until cancelled."""
+        while True:
+            now = self._clock()
+            self._send(self._membership.tick(now))
+            self._borrow(now)
+            self.show_view()
+            self._client.close_idle()
+            await asyncio.sleep(self._times.period * (0.9 + 0.2 * self._rng.random()))
+
+    async def follow_list(self) -> None:
+        """Read the VM list now and then, until cancelled."""
+        while True:
+            try:
+                listed = await self._vms.read()
+                addresses = [Address(vm.host, vm.peer_port) for vm in listed]
+                self._membership.candidates(addresses, self._clock())
+            except StoreError as error:
+                logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
+            await asyncio.sleep(self._times.list_interval * (0.5 + self._rng.random()))
+
+    def leave(self) -> None:
+        """Say that this entry takes no new work, and tell some others at once."""
+        now = self._clock()
+        self._membership.leave(now)
+        self.show_view()
+        self._send(self._membership.tick(now))
+
+    def show_view(self) -> None:
+        """Hand on the view of the live entries if it changed."""
+        if self._membership.view_version == self._shown_version:
+            return
+        self._shown_version = self._membership.view_version
+        self._on_view(self.view())
+
+    def view(self) -> MemberView:
+        """Return the live entries, this one and leaving ones included."""
+        by_id = {}
+        for member in self._membership.reachable():
+            address = EntryAddress(
+                member.member_id,
+                member.host,
+                member.caller_port,
+                member.forward_port,
+                member.peer_port,
+            )
+            leaving = self._membership.state(member.member_id) is MemberState.LEAVING
+            by_id[member.member_id] = ViewedMember(
+                address, member.incarnation, member.region, member.zone, leaving
+            )
+        return MemberView(by_id)
+
+    def _gossip(self, updates: tuple[Any, ...]) -> Gossip:
+        news = self._core.exchange.news(self._clock())
+        return Gossip(updates, self._in_force.versions(), news)
+
+    def _heard(self, sender: str, gossip: Gossip) -> None:
+        self._core.exchange.heard(gossip.news, self._clock())
+        self.show_view()
+        member = self._membership.member(sender)
+        if member is None:
+            return
+        for name in self._in_force.newer_abroad(gossip.objects):
+            if name not in self._fetching:
+                self._fetching.add(name)
+                self._start(self._fetch(member.address, name))
+
+    def _send(self, probes: list[ProbeOut]) -> None:
+        for probe in probes:
+            self._start(self._probe(probe))
+
+    async def _probe(self, probe: ProbeOut) -> None:
+        asked = PeerProbe(self._me, probe.receiver, probe.number, self._gossip(probe.updates))
+        call = self._client.probe_via if probe.via else self._client.probe
+        try:
+            reply = await call(probe.address, asked)
+        except PeerError:
+            self._send(self._membership.on_timeout(probe.number, self._clock()))
+            return
+        answer = Reply(reply.sender, probe.number, reply.acknowledged, reply.gossip.updates)
+        more = self._membership.on_reply(answer, self._clock())
+        self._heard(reply.sender, reply.gossip)
+        self._send(more)
+
+    async def _fetch(self, address: Address, name: str) -> None:
+        try:
+            copy = await self._client.fetch(address, name, self._in_force.version(name))
+            if copy is not None:
+                self._in_force.offered(copy)
+        except PeerError as error:
+            logs.event("peer-unavailable", logging.DEBUG, object=name, error=str(error))
+        finally:
+            self._fetching.discard(name)
+
+    def _borrow(self, now: float) -> None:
+        view = self._core.view
+        wanted = self._core.exchange.borrow_wanted(view, self._rng, now)
+        if wanted is None or wanted.entry_id not in view.by_id:
+            return
+        address = view.by_id[wanted.entry_id].address
+        asked = BorrowAsked(
+            self._me, wanted.resource, wanted.amount, wanted.transfer_id, wanted.lifetime
+        )
+
+        async def ask() -> None:
+            try:
+                granted = await self._client.borrow(Address(address.host, address.peer_port), asked)
+            except PeerError:
+                return
+            self._core.exchange.borrowed(wanted, granted)
+
+        self._start(ask())
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        if len(self._tasks) >= MOST_TASKS:
+            work.close()
+            return
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/briarspur/placement.py
+++ b/briarspur/placement.py
@@ -289,6 +289,10 @@
         """Take a request out of the queue, if it waits."""
         self._waiting_by_service[work.service.name].remove(work)
 
+    def queued(self, service: str) -> int:
+        """Return how many requests of a service wait."""
+        return len(self._waiting_by_service[service])
+
     def waiting(self) -> int:
         """Return how many requests wait."""
         return sum(len(queue) for queue in self._waiting_by_service.values())
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -278,6 +278,9 @@
     def look_up(self, service: str, block: int) -> Result[bytes, Refusal]:
         return Ok(b'{"service": "%b", "block": %d}' % (service.encode(), block))
 
+    def arrived(self, request: Request) -> None:
+        pass
+
     def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
         self.answers.append(code)
 
