--- a/briarspur/coord/shift.py
+++ b/briarspur/coord/shift.py
@@ -86,6 +86,12 @@
         self.now_by_flow[flow] += 1
         self.now_by_home[flow.service, flow.home] += 1
 
+    def uncount(self, flow: Flow, taken_at: float) -> None:
+        """Take back one request, if its window is still the current one."""
+        if math.floor(taken_at / self.window) == self.number and self.now_by_flow[flow] > 0:
+            self.now_by_flow[flow] -= 1
+            self.now_by_home[flow.service, flow.home] -= 1
+
 
 class ShiftBudget:
     """What one member may shift.
@@ -132,6 +138,17 @@
             each.record(flow)
         return True
 
+    def give_back(self, service: str, home: str, region: str, taken_at: float) -> None:
+        """Uncount a request that ``take`` counted at ``taken_at``, but that was not sent after all.
+
+        Else it would count as carried, and let the flow carry as much in the next window without
+        drawing on a cap. What it drew on a cap stays drawn: another request may have gone since on
+        the strength of it.
+        """
+        flow = Flow(service, home, region)
+        for ledger in self._ledger_by_window.values():
+            ledger.uncount(flow, taken_at)
+
     def allowed(self, service: str, home: str, region: str, kind: str, now: float) -> bool:
         """Return what :meth:`take` would, and count nothing."""
         return self._allowed(Flow(service, home, region), RETURN if region == home else kind, now)
