--- /dev/null
+++ b/standins/targetmodel.py
@@ -0,0 +1,140 @@
+"""How a stand-in backend server behaves: its settings, its warmth and its counts."""
+
+import random
+from dataclasses import asdict, dataclass, field
+from typing import Any, Literal
+
+from pydantic import Field
+
+from briarspur.documents import Document
+
+__all__ = [
+    "BackendSettings",
+    "Counts",
+    "Ledger",
+    "ServiceTime",
+    "TargetSettings",
+    "TargetSwitches",
+    "Warmth",
+]
+
+
+class ServiceTime(Document):
+    """How long requests take, and how a cold target is slower."""
+
+    median_ms: float = Field(default=20.0, ge=0.0)
+    sigma: float = Field(default=0.3, ge=0.0, description="of the logarithm")
+    cold_factor: float = Field(default=4.0, ge=1.0, description="slowness of the first request")
+    warm_after: int = Field(default=30, ge=1, description="requests until it is warm")
+    half_warmth_s: float = Field(default=30.0, gt=0.0, description="idle time that halves warmth")
+    connect_ms: float = Field(default=1.0, ge=0.0, description="added on a new connection")
+    bytes_per_s: int = Field(default=4_000_000, ge=1_000, description="pace of one download")
+
+
+class TargetSettings(Document):
+    """One hosted target."""
+
+    target_id: str
+    host: str
+    port: int
+    service: str
+    region: str
+    slots: int = Field(default=3, ge=1)
+    connections: int = Field(default=350, ge=1)
+
+
+class BackendSettings(Document):
+    """A process that hosts targets; a region's targets in one process give its exact peak."""
+
+    host: str = "127.0.0.1"
+    control_port: int
+    seed: int = 1
+    warm: bool = Field(default=False, description="start warm")
+    crash_s: float = Field(default=2.0, ge=0.0, description="refuses connections after a crash")
+    delays_ms: dict[str, float] = Field(
+        default={}, description="one-way delay by region of the calling entry"
+    )
+    times_by_service: dict[str, ServiceTime] = Field(default={})
+    targets: list[TargetSettings]
+
+
+class TargetSwitches(Document):
+    """What ``POST /control`` may set for a target, or for all of them."""
+
+    draining: bool = False
+    slow_factor: float = Field(default=1.0, gt=0.0)
+    health: Literal["true", "ok", "bad"] = "true"
+    load: Literal["true", "idle", "silent"] = "true"
+    lose_answers: int = Field(default=0, ge=0, description="run, then cut without an answer")
+    cut_answers: int = Field(default=0, ge=0, description="cut after half of the body")
+
+
+@dataclass(slots=True)
+class Warmth:
+    """The cold-start curve: slow at first, by requests served and idle time."""
+
+    time: ServiceTime
+    served: float = 0.0
+    last: float = 0.0
+
+    def factor(self, now: float) -> float:
+        """Return how much slower than warm a request that begins now is."""
+        if self.last:
+            self.served *= 0.5 ** ((now - self.last) / self.time.half_warmth_s)
+        cold = max(0.0, 1.0 - self.served / self.time.warm_after)
+        self.served = min(self.served + 1, self.time.warm_after * 2.0)
+        self.last = now
+        return 1.0 + (self.time.cold_factor - 1.0) * cold
+
+    def seconds(self, now: float, rng: random.Random) -> float:
+        """Return the service time of a request that begins now."""
+        warm_ms = self.time.median_ms * rng.lognormvariate(0.0, self.time.sigma)
+        return warm_ms * self.factor(now) / 1000
+
+
+@dataclass(slots=True)
+class Counts:
+    """What one target, or one region, saw."""
+
+    in_flight: int = 0
+    peak_in_flight: int = 0
+    started: int = 0
+    ended: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    expired: int = 0
+    crashes: int = 0
+    started_draining: int = 0
+    last_start_draining_s: float = 0.0
+    bytes_sent: int = 0
+    connections: int = 0
+    peak_connections: int = 0
+
+    def start(self) -> None:
+        """Count a request that begins to run."""
+        self.started += 1
+        self.in_flight += 1
+        self.peak_in_flight = max(self.peak_in_flight, self.in_flight)
+
+    def end(self) -> None:
+        """Count a request that runs no more."""
+        self.in_flight -= 1
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What was recorded; doubled runs show, because nothing is deduplicated here."""
+
+    runs_by_key: dict[str, list[str]] = field(default_factory=dict)
+    starts_by_key: dict[str, list[str]] = field(default_factory=dict)
+    crashes_by_request: dict[str, int] = field(default_factory=dict)
+    counts_by_target: dict[str, Counts] = field(default_factory=dict)
+    counts_by_region: dict[str, Counts] = field(default_factory=dict)
+
+    def record(self, key: str, target_id: str) -> None:
+        """Record one booking."""
+        self.runs_by_key.setdefault(key, []).append(target_id)
+
+    def document(self) -> dict[str, Any]:
+        """Return the ledger as JSON."""
+        return asdict(self)
