--- a/briarspur/codes.py
+++ b/briarspur/codes.py
@@ -25,7 +25,12 @@
 
 
 class Code(IntEnum):
-    """Result codes; the thousands say the class, and numbers are never given a new meaning."""
+    """Result codes; numbers are never given a new meaning.
+
+    The thousands give the class: 1 answered, 2 refused and not run, 3 a once-only request whose
+    outcome this entry can't vouch for, 4 an idempotent request that failed, 5 a fault of ours.
+    ``not run`` covers every copy of the key, so only an entry that knows the key may say it.
+    """
 
     ANSWERED = 1000
     REPLAYED = 1001
@@ -34,7 +39,6 @@
     UNKNOWN_SERVICE = 2001
     MALFORMED_KEY = 2002
     KEY_REQUIRED = 2003
-    KEY_EXPIRED = 2004
     KEY_REUSED = 2005
     HEADERS_TOO_LARGE = 2006
     BODY_TOO_LARGE = 2007
@@ -47,13 +51,14 @@
     DEADLINE_TOO_SHORT = 2105
     QUARANTINED = 2106
     NOT_READY = 2107
-    STORE_UNAVAILABLE = 2108
-    HOME_UNREACHABLE = 2109
     RETRY_BUDGET_SPENT = 2110
     MEMORY_FULL = 2111
     OUTCOME_UNKNOWN = 3000
     HOME_GONE = 3001
     DEADLINE_PASSED_AFTER_DISPATCH = 3002
+    HOME_UNREACHABLE = 3003
+    STORE_UNAVAILABLE = 3004
+    KEY_EXPIRED = 3005
     CONNECTION_LOST = 4000
     ANSWER_CUT_SHORT = 4001
     DEADLINE_PASSED = 4002
@@ -90,9 +95,6 @@
     Code.KEY_REQUIRED: CodeInfo(
         400, Ran.NO, Repeat.AFTER_MENDING, "a once-only request came without an Idempotency-Key"
     ),
-    Code.KEY_EXPIRED: CodeInfo(
-        410, Ran.NO, Repeat.ASK_FIRST, "the key is older than its memory; it is not run again"
-    ),
     Code.KEY_REUSED: CodeInfo(
         422, Ran.NO, Repeat.AFTER_MENDING, "the key was used before with another request"
     ),
@@ -129,12 +131,6 @@
     Code.NOT_READY: CodeInfo(
         503, Ran.NO, Repeat.AFTER_RETRY_AFTER, "the entry has no policy yet or is stopping"
     ),
-    Code.STORE_UNAVAILABLE: CodeInfo(
-        503, Ran.NO, Repeat.AFTER_RETRY_AFTER, "the key could not be claimed: no store"
-    ),
-    Code.HOME_UNREACHABLE: CodeInfo(
-        503, Ran.NO, Repeat.SAME_KEY, "the key's home entry did not take the request"
-    ),
     Code.RETRY_BUDGET_SPENT: CodeInfo(
         503, Ran.NO, Repeat.AFTER_RETRY_AFTER, "the attempt failed and the retry budget is spent"
     ),
@@ -150,6 +146,18 @@
     Code.DEADLINE_PASSED_AFTER_DISPATCH: CodeInfo(
         504, Ran.UNKNOWN, Repeat.ASK_FIRST, "the deadline passed after the request was handed over"
     ),
+    Code.HOME_UNREACHABLE: CodeInfo(
+        503, Ran.UNKNOWN, Repeat.SAME_KEY, "this entry can't reach the one that knows the key"
+    ),
+    Code.STORE_UNAVAILABLE: CodeInfo(
+        503,
+        Ran.UNKNOWN,
+        Repeat.SAME_KEY,
+        "this copy was not run; an earlier one can't be ruled out",
+    ),
+    Code.KEY_EXPIRED: CodeInfo(
+        410, Ran.UNKNOWN, Repeat.ASK_FIRST, "the key is older than its memory; it is not run now"
+    ),
     Code.CONNECTION_LOST: CodeInfo(
         502, Ran.UNKNOWN, Repeat.SAME_KEY, "an idempotent request's connection broke"
     ),
