--- a/standins/backend.py
+++ b/standins/backend.py
@@ -33,7 +33,6 @@
 PACE_S = 0.02
 RANGE = re.compile(r"bytes=(\d+)-(\d*)")
 RETRY_AFTER_S = b"1"
-VIA_REGION = b"x-entry-region"
 
 
 class Run:
@@ -44,6 +43,7 @@
         self.request = request
         self.path = request.uri.decode()
         self.key = _header(request, b"idempotency-key")
+        self.delay = target.delay(request)
         self.timer: Any = None
         self.running = True
         request.notifyFinish().addErrback(lambda _: self.cancel())
@@ -51,7 +51,7 @@
     def start(self) -> None:
         """Occupy the slot until the service time has passed."""
         self.target.begin_run(self)
-        seconds = self.target.seconds(self.request)
+        seconds = self.target.work_seconds()
         left_ms = _header(self.request, b"request-timeout-ms")
         if left_ms and left_ms.isdigit() and int(left_ms) / 1000 < seconds:
             self.timer = _reactor().callLater(int(left_ms) / 1000, self.expire)
@@ -68,10 +68,11 @@
     def expire(self) -> None:
         """Stop the work and record nothing, because the deadline has come."""
         self.target.counts.expired += 1
+        self._free()
         self.request.setResponseCode(504)
         self.target.mark(self.request)
-        self.request.finish()
-        self._free()
+        self.request.setHeader(b"content-length", b"0")
+        travel(self.delay, self.request, self.request.finish)
 
     def answer(self) -> None:
         """End the work: record a booking first, then answer."""
@@ -79,12 +80,14 @@
             self.target.backend.ledger.record(self.key, self.target.settings.target_id)
         self.target.counts.ended += 1
         if self.target.spend_switch("lose_answers"):
-            _abort(self.request)
+            self._free()
+            travel(self.delay, self.request, lambda: _abort(self.request))
             return
         self.target.mark(self.request)
         size = download_size(self.path)
         if size is None:
-            self._answer_small()
+            self._free()
+            travel(self.delay, self.request, self._answer_small)
         else:
             self._answer_download(size)
 
@@ -99,7 +102,6 @@
         if self.request.method != b"HEAD":
             self.request.write(body)
         self.request.finish()
-        self._free()
 
     def _answer_download(self, size: int) -> None:
         """Send the content, or the part a Range with a fitting If-Range asks for."""
@@ -113,7 +115,7 @@
         self.request.setHeader(b"content-type", b"application/octet-stream")
         self.request.setHeader(b"content-length", str(end - start).encode())
         cut_at = (start + end) // 2 if self.target.spend_switch("cut_answers") else None
-        self._send(start, end, cut_at)
+        travel(self.delay, self.request, lambda: self._send(start, end, cut_at))
 
     def _send(self, at: int, end: int, cut_at: int | None) -> None:
         """Send one step of a paced download; it holds its slot until the last byte."""
@@ -133,6 +135,8 @@
         self._free()
 
     def _free(self) -> None:
+        if not self.running:
+            return
         self.running = False
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -187,7 +191,6 @@
             self.warmth.served = self.time.warm_after * 2.0
         self.site = LimitedSite(self, settings.connections, self.counts)
         self._listening: Any = None
-        self._seen_channels: set[int] = set()
 
     def listen(self) -> None:
         """Begin to take connections."""
@@ -223,6 +226,10 @@
 
     def render(self, request: Request) -> int:
         """Answer one request, now or later."""
+        travel(self.delay(request), request, lambda: self._arrive(request))
+        return NOT_DONE_YET
+
+    def _arrive(self, request: Request) -> None:
         path = request.path.decode()
         if path == "/health":
             self._health(request)
@@ -234,18 +241,21 @@
             self._shed(request)
         else:
             Run(self, request).start()
-        return NOT_DONE_YET
 
-    def seconds(self, request: Request) -> float:
-        """Return how long the request takes, with the way there and back."""
-        region = _header(request, VIA_REGION) or self.settings.region
-        delay = self.backend.settings.delays_ms.get(region, 0.0) * 2 / 1000
-        channel = id(request.channel)
-        if channel not in self._seen_channels:
-            self._seen_channels.add(channel)
-            delay += self.time.connect_ms / 1000
+    def delay(self, request: Request) -> float:
+        """Return the one-way delay in seconds; on a new connection, opening it is added."""
+        host = getattr(request.getClientAddress(), "host", "")
+        delay_ms = self.backend.settings.delays.between(host, self.settings)
+        channel: Any = request.channel
+        if not getattr(channel, "is_open", False):
+            channel.is_open = True
+            delay_ms += self.time.connect_ms
+        return delay_ms / 1000
+
+    def work_seconds(self) -> float:
+        """Return how long a request that begins now occupies its slot."""
         work = self.warmth.seconds(time.monotonic(), self.backend.rng)
-        return delay + work * self.switches.slow_factor
+        return work * self.switches.slow_factor
 
     def begin_run(self, run: Run) -> None:
         """Count a request that occupies a slot from now on."""
@@ -350,6 +360,19 @@
     return int(matched[1]), min(end, size)
 
 
+def travel(delay: float, request: Request, then: Callable[[], None]) -> None:
+    """Go on after the way between entry and target, unless the connection has gone meanwhile."""
+    if delay <= 0:
+        then()
+        return
+
+    def arrived() -> None:
+        if request.transport and not request._disconnected:
+            then()
+
+    _reactor().callLater(delay, arrived)
+
+
 def _header(request: Request, name: bytes) -> str | None:
     value = request.getHeader(name)
     return value.decode("latin-1") if value is not None else None
--- a/standins/targetmodel.py
+++ b/standins/targetmodel.py
@@ -11,6 +11,7 @@
 __all__ = [
     "BackendSettings",
     "Counts",
+    "Delays",
     "Ledger",
     "ServiceTime",
     "TargetSettings",
@@ -39,10 +40,28 @@
     port: int
     service: str
     region: str
+    zone: str
     slots: int = Field(default=3, ge=1)
     connections: int = Field(default=350, ge=1)
 
 
+class Delays(Document):
+    """One-way delays in ms between an entry, known by its address, and a target."""
+
+    zones_by_host: dict[str, str] = Field(default={}, description="zone of each entry's address")
+    regions_by_zone: dict[str, str] = Field(default={})
+    between_zones_ms: float = Field(default=0.0, ge=0.0)
+    between_regions_ms: float = Field(default=0.0, ge=0.0)
+
+    def between(self, host: str, target: TargetSettings) -> float:
+        """Return the delay from ``host``; an address that is not known is near."""
+        zone = self.zones_by_host.get(host)
+        if zone is None or zone == target.zone:
+            return 0.0
+        same_region = self.regions_by_zone.get(zone) == target.region
+        return self.between_zones_ms if same_region else self.between_regions_ms
+
+
 class BackendSettings(Document):
     """A process that hosts targets; a region's targets in one process give its exact peak."""
 
@@ -51,9 +70,7 @@
     seed: int = 1
     warm: bool = Field(default=False, description="start warm")
     crash_s: float = Field(default=2.0, ge=0.0, description="refuses connections after a crash")
-    delays_ms: dict[str, float] = Field(
-        default={}, description="one-way delay by region of the calling entry"
-    )
+    delays: Delays = Delays()
     times_by_service: dict[str, ServiceTime] = Field(default={})
     targets: list[TargetSettings]
 
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins, as far as verdicts of other tests rest on them."""
