--- a/standins/backend.py
+++ b/standins/backend.py
@@ -245,7 +245,7 @@
     def delay(self, request: Request) -> float:
         """Return the one-way delay in seconds; on a new connection, opening it is added."""
         host = getattr(request.getClientAddress(), "host", "")
-        delay_ms = self.backend.settings.delays.between(host, self.settings)
+        delay_ms = self.backend.settings.delays.to_zone(host, self.settings.zone)
         channel: Any = request.channel
         if not getattr(channel, "is_open", False):
             channel.is_open = True
--- /dev/null
+++ b/standins/callreport.py
@@ -0,0 +1,173 @@
+"""What callers saw: final answers, latency histograms, and the fate of each booking's key."""
+
+import json
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, field
+from enum import Enum
+from typing import Any, Self
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Fate", "Outcome", "Report", "Verdict", "judge", "new_histogram"]
+
+HIGHEST_US = 120_000_000
+DIGITS = 3
+
+
+class Outcome(Enum):
+    """How a call ended for its caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "outcome unknown"
+    FAILED = "failed"
+    WRONG = "wrong answer"
+    NONE = "no final answer"
+
+
+class Fate(Enum):
+    """What a caller believes of its booking."""
+
+    CONFIRMED = "confirmed"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+def new_histogram() -> Any:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, HIGHEST_US, DIGITS)
+
+
+@dataclass(slots=True)
+class Report:
+    """One caller's counts, or the sum of several.
+
+    Attributes
+    ----------
+    codes_by_load : dict of str to Counter
+        Final answers by result code; 0 counts calls without one.
+    attempt_codes : Counter
+        Every answer, those that were repeated included.
+    fates_by_key : dict of str to str
+        Value of :class:`Fate` for each key.
+    """
+
+    codes_by_load: dict[str, Counter[str]] = field(default_factory=dict)
+    outcomes_by_load: dict[str, Counter[str]] = field(default_factory=dict)
+    attempt_codes: Counter[str] = field(default_factory=Counter)
+    fates_by_key: dict[str, str] = field(default_factory=dict)
+    histograms_by_load: dict[str, Any] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)
+    lookups: int = 0
+
+    def answered(self, load: str, seconds: float) -> None:
+        """Record the latency of a whole answer."""
+        histogram = self.histograms_by_load.setdefault(load, new_histogram())
+        histogram.record_value(min(HIGHEST_US, max(1, int(seconds * 1_000_000))))
+
+    def final(self, load: str, code: int, outcome: Outcome) -> None:
+        """Count how a call ended."""
+        self.codes_by_load.setdefault(load, Counter())[str(code)] += 1
+        self.outcomes_by_load.setdefault(load, Counter())[outcome.value] += 1
+
+    def total(self, outcome: Outcome, load: str | None = None) -> int:
+        """Return how many calls ended so."""
+        counters = self.outcomes_by_load
+        return sum(c[outcome.value] for name, c in counters.items() if load in (None, name))
+
+    def calls(self) -> int:
+        """Return how many calls ended in any way."""
+        return sum(sum(c.values()) for c in self.outcomes_by_load.values())
+
+    def add(self, other: Self) -> None:
+        """Add another caller's counts."""
+        for mine, theirs in (
+            (self.codes_by_load, other.codes_by_load),
+            (self.outcomes_by_load, other.outcomes_by_load),
+        ):
+            for load, counter in theirs.items():
+                mine.setdefault(load, Counter()).update(counter)
+        for load, histogram in other.histograms_by_load.items():
+            self.histograms_by_load.setdefault(load, new_histogram()).add(histogram)
+        self.attempt_codes.update(other.attempt_codes)
+        self.fates_by_key.update(other.fates_by_key)
+        self.faults.extend(other.faults)
+        self.lookups += other.lookups
+
+    def milliseconds(self, load: str, percentile: float) -> float:
+        """Return a percentile of the latency of whole answers; 0 if there was none."""
+        histogram = self.histograms_by_load.get(load)
+        if histogram is None:
+            return 0.0
+        return float(histogram.get_value_at_percentile(percentile)) / 1000
+
+    def dump(self) -> str:
+        """Return the report as JSON."""
+        document = asdict(
+            Report(
+                self.codes_by_load,
+                self.outcomes_by_load,
+                self.attempt_codes,
+                self.fates_by_key,
+                {},
+                self.faults,
+                self.lookups,
+            )
+        )
+        document["histograms_by_load"] = {
+            load: histogram.encode().decode() for load, histogram in self.histograms_by_load.items()
+        }
+        return json.dumps(document)
+
+    @classmethod
+    def load(cls, text: str) -> Self:
+        """Return the report that ``dump`` wrote."""
+        document = json.loads(text)
+        histograms = document.pop("histograms_by_load")
+        report = cls(**document)
+        report.codes_by_load = {k: Counter(v) for k, v in report.codes_by_load.items()}
+        report.outcomes_by_load = {k: Counter(v) for k, v in report.outcomes_by_load.items()}
+        report.attempt_codes = Counter(report.attempt_codes)
+        report.histograms_by_load = {
+            load: HdrHistogram.decode(encoded) for load, encoded in histograms.items()
+        }
+        return report
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What the ledgers say of the callers' bookings; each list names keys."""
+
+    recorded: int
+    confirmed: int
+    doubled: list[str]
+    lost: list[str]
+    run_though_refused: list[str]
+
+    @property
+    def holds(self) -> bool:
+        """Whether nothing was lost, doubled or run though refused."""
+        return not (self.doubled or self.lost or self.run_though_refused)
+
+
+def judge(report: Report, ledgers: Iterable[dict[str, Any]]) -> Verdict:
+    """Compare what callers were told with what the backend servers recorded.
+
+    A key's runs are counted over all ledgers, because two targets in two processes may each have
+    run it once.
+    """
+    runs: Counter[str] = Counter()
+    for ledger in ledgers:
+        for key, targets in ledger["runs_by_key"].items():
+            runs[key] += len(targets)
+    fates = report.fates_by_key
+    confirmed = [key for key, fate in fates.items() if fate == Fate.CONFIRMED.value]
+    refused = [key for key, fate in fates.items() if fate == Fate.NOT_RUN.value]
+    return Verdict(
+        recorded=len(runs),
+        confirmed=len(confirmed),
+        doubled=[key for key, count in runs.items() if count > 1],
+        lost=[key for key in confirmed if runs[key] == 0],
+        run_though_refused=[key for key in refused if runs[key] > 0],
+    )
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,178 @@
+"""A deployment as its example files describe it, on ports that are free here."""
+
+import json
+import socket
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pydantic import Field
+
+from briarspur.documents import Document, load_settings
+from briarspur.objects import Vm, VmState
+from briarspur.policy import PolicyDocument, parse_policy
+from standins.callersettings import Address, CallerSettings, Load
+from standins.targetmodel import BackendSettings, Delays, ServiceTime, TargetSettings
+
+__all__ = ["EXAMPLES", "Deployment", "StandinSettings", "free_port"]
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+PORT_FIELDS = ("port", "caller_port", "forward_port", "peer_port", "status_port")
+
+
+class StandinSettings(Document):
+    """What the stand-ins of a deployment do."""
+
+    delays: Delays
+    times_by_service: dict[str, ServiceTime]
+    caller_hosts_by_region: dict[str, str]
+    loads: list[Load]
+    warm: bool = Field(default=True, description="targets start warm")
+
+
+def free_port(host: str) -> int:
+    """Return a port of ``host`` that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+class PortMap:
+    """Replaces each (host, port) of the example files by a free port of that host."""
+
+    def __init__(self) -> None:
+        self._port_by_address: dict[tuple[str, int], int] = {}
+        self._taken: set[tuple[str, int]] = set()
+
+    def port(self, host: str, port: int) -> int:
+        """Return the free port that stands for ``port``, always the same one."""
+        address = (host, port)
+        if address not in self._port_by_address:
+            found = free_port(host)
+            while (host, found) in self._taken:
+                found = free_port(host)
+            self._taken.add((host, found))
+            self._port_by_address[address] = found
+        return self._port_by_address[address]
+
+    def replace(self, document: Any) -> Any:
+        """Return a JSON document with free ports."""
+        if isinstance(document, list):
+            return [self.replace(item) for item in document]
+        if not isinstance(document, dict):
+            return document
+        replaced = {name: self.replace(value) for name, value in document.items()}
+        host = document.get("host")
+        for name in PORT_FIELDS:
+            if host is not None and name in document:
+                replaced[name] = self.port(host, document[name])
+        return replaced
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """All documents of one deployment, written to ``folder`` with free ports.
+
+    Attributes
+    ----------
+    documents_by_name : dict of str to dict
+        The files of the example by name without suffix, ports replaced.
+    """
+
+    folder: Path
+    documents_by_name: dict[str, dict[str, Any]]
+    standins: StandinSettings
+
+    @classmethod
+    def load(cls, name: str, folder: Path) -> "Deployment":
+        """Read the example ``name`` and write its files, with free ports, to ``folder``."""
+        ports = PortMap()
+        documents = {}
+        for file in sorted((EXAMPLES / name).glob("*.json")):
+            if file.stem == "standins":
+                continue
+            documents[file.stem] = ports.replace(json.loads(file.read_text()))
+        standins = load_settings(StandinSettings, str(EXAMPLES / name / "standins.json"))
+        deployment = cls(folder, documents, standins)
+        for stem, document in documents.items():
+            deployment.write(stem, document)
+        return deployment
+
+    def write(self, stem: str, document: dict[str, Any]) -> Path:
+        """Write a settings file; return its path."""
+        path = self.folder / f"{stem}.json"
+        path.write_text(json.dumps(document, indent=2))
+        return path
+
+    def policy(self) -> PolicyDocument:
+        """Return the policy, checked."""
+        return parse_policy(json.dumps(self.documents_by_name["policy"]))
+
+    def names(self, prefix: str) -> list[str]:
+        """Return the names of documents that begin with ``prefix``, in order of their numbers."""
+        found = [name for name in self.documents_by_name if name.startswith(prefix)]
+        return sorted(found, key=lambda name: int(name.rpartition("-")[2]))
+
+    def address(self, entry_id: str) -> Address:
+        """Return where an entry takes callers."""
+        settings = self.documents_by_name[entry_id]
+        return Address(host=settings["host"], port=settings["caller_port"])
+
+    def vms(self) -> list[Vm]:
+        """Return the VM list with every entry live."""
+        found = []
+        for name in self.names("entry-"):
+            s = self.documents_by_name[name]
+            ports = (s["caller_port"], s["forward_port"], s["peer_port"])
+            found.append(Vm(s["entry_id"], s["host"], s["zone"], VmState.LIVE, *ports))
+        return found
+
+    def backends(self, seed: int) -> dict[str, BackendSettings]:
+        """Return the settings of one backend process per region."""
+        policy = self.policy()
+        region_of = {z: name for name, region in policy.regions.items() for z in region.zones}
+        targets_by_region: dict[str, list[TargetSettings]] = {name: [] for name in policy.regions}
+        for target_id, target in policy.targets.items():
+            targets_by_region[region_of[target.zone]].append(
+                TargetSettings(
+                    target_id=target_id,
+                    host=target.host,
+                    port=target.port,
+                    service=target.service,
+                    region=region_of[target.zone],
+                    zone=target.zone,
+                    slots=target.slots,
+                    connections=target.connections,
+                )
+            )
+        return {
+            region: BackendSettings(
+                control_port=free_port("127.0.0.1"),
+                seed=seed,
+                warm=self.standins.warm,
+                delays=self.standins.delays,
+                times_by_service=self.standins.times_by_service,
+                targets=targets,
+            )
+            for region, targets in targets_by_region.items()
+        }
+
+    def callers(
+        self, seed: int, seconds: float, loads: list[Load] | None = None
+    ) -> dict[str, CallerSettings]:
+        """Return the settings of one caller process per region."""
+        entries = [self.address(name) for name in self.names("entry-")]
+        return {
+            region: CallerSettings(
+                name=f"callers-{region}",
+                region=region,
+                host=host,
+                seed=seed,
+                seconds=seconds,
+                entries=entries,
+                delays=self.standins.delays,
+                loads=self.standins.loads if loads is None else loads,
+                report=str(self.folder / f"report-{region}-{seed}.json"),
+            )
+            for region, host in self.standins.caller_hosts_by_region.items()
+        }
--- a/standins/targetmodel.py
+++ b/standins/targetmodel.py
@@ -46,21 +46,27 @@
 
 
 class Delays(Document):
-    """One-way delays in ms between an entry, known by its address, and a target."""
+    """One-way delays in ms; entries are known by their addresses."""
 
     zones_by_host: dict[str, str] = Field(default={}, description="zone of each entry's address")
     regions_by_zone: dict[str, str] = Field(default={})
+    client_ms: float = Field(default=0.0, ge=0.0, description="between a caller and its region")
     between_zones_ms: float = Field(default=0.0, ge=0.0)
     between_regions_ms: float = Field(default=0.0, ge=0.0)
 
-    def between(self, host: str, target: TargetSettings) -> float:
-        """Return the delay from ``host``; an address that is not known is near."""
-        zone = self.zones_by_host.get(host)
-        if zone is None or zone == target.zone:
+    def to_zone(self, host: str, zone: str) -> float:
+        """Return the delay from the entry at ``host``; an address that is not known is near."""
+        entry_zone = self.zones_by_host.get(host, zone)
+        if entry_zone == zone:
             return 0.0
-        same_region = self.regions_by_zone.get(zone) == target.region
+        same_region = self.regions_by_zone.get(entry_zone) == self.regions_by_zone.get(zone)
         return self.between_zones_ms if same_region else self.between_regions_ms
 
+    def to_caller(self, host: str, region: str) -> float:
+        """Return the delay from the entry at ``host`` to a caller in ``region``."""
+        entry_region = self.regions_by_zone.get(self.zones_by_host.get(host, ""), region)
+        return self.client_ms + (0.0 if entry_region == region else self.between_regions_ms)
+
 
 class BackendSettings(Document):
     """A process that hosts targets; a region's targets in one process give its exact peak."""
