--- a/standins/callreport.py
+++ b/standins/callreport.py
@@ -3,7 +3,7 @@
 import json
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field, fields
 from enum import Enum
 from typing import Any, Self
 
@@ -104,17 +104,7 @@
 
     def dump(self) -> str:
         """Return the report as JSON."""
-        document = asdict(
-            Report(
-                self.codes_by_load,
-                self.outcomes_by_load,
-                self.attempt_codes,
-                self.fates_by_key,
-                {},
-                self.faults,
-                self.lookups,
-            )
-        )
+        document: dict[str, Any] = {item.name: getattr(self, item.name) for item in fields(self)}
         document["histograms_by_load"] = {
             load: histogram.encode().decode() for load, histogram in self.histograms_by_load.items()
         }
--- /dev/null
+++ b/standins/system.py
@@ -0,0 +1,249 @@
+"""A whole deployment in real processes on loopback: for the demo, the stories and experiments."""
+
+import json
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any, Self
+
+from briarspur.objects import VmState
+from standins.callersettings import CallerSettings, Load
+from standins.callreport import Report
+from standins.deployment import Deployment
+from standins.launcher import Launcher
+
+__all__ = ["NotReadyError", "System", "call", "until"]
+
+CALL_PATIENCE_S = 2.0
+READY_S = 60.0
+POLL_S = 0.05
+OPENER = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+
+
+class NotReadyError(Exception):
+    """Something did not come about in time."""
+
+
+def call(host: str, port: int, path: str, body: object = None) -> Any:
+    """Make one HTTP call (POST if there is a body); return the JSON of its answer.
+
+    Raises
+    ------
+    OSError
+        There was no answer, or not one with a good status.
+    """
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{host}:{port}{path}", data=data)
+    with OPENER.open(request, timeout=CALL_PATIENCE_S) as response:
+        text = response.read()
+    return json.loads(text) if text else None
+
+
+def until(holds: Callable[[], bool], what: str, patience: float = READY_S) -> float:
+    """Wait until ``holds``; return the seconds it took.
+
+    Raises
+    ------
+    NotReadyError
+        It does not hold after ``patience`` seconds.
+    """
+    began = time.monotonic()
+    while not holds():
+        if time.monotonic() - began > patience:
+            raise NotReadyError(f"after {patience:.0f} s still not: {what}")
+        time.sleep(POLL_S)
+    return time.monotonic() - began
+
+
+class System:
+    """Platform, backend servers, entries, steers and callers of one deployment.
+
+    Parameters
+    ----------
+    entry_module : str
+        What runs as an entry; experiments run another one.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        launcher: Launcher,
+        seed: int = 1,
+        entry_module: str = "briarspur.entry",
+    ) -> None:
+        self.deployment = deployment
+        self.launcher = launcher
+        self.seed = seed
+        self.entry_ids = deployment.names("entry-")
+        self._entry_module = entry_module
+        self._backends = deployment.backends(seed)
+        self._vms = {vm.vm_id: asdict(vm) for vm in deployment.vms()}
+        self._caller_runs: list[CallerSettings] = []
+
+    def start(self, steers: bool = True) -> Self:
+        """Start all but the callers; return once every entry is ready."""
+        platform = self.deployment.documents_by_name["platform"]
+        address = ("--host", platform["host"], "--port", str(platform["port"]))
+        self.launcher.start("platform", "standins.platform", *address)
+        for region, settings in self._backends.items():
+            path = self.deployment.write(f"backend-{region}", settings.model_dump(mode="json"))
+            self.launcher.start(f"backend-{region}", "standins.backend", "--settings", str(path))
+        until(lambda: self._answers(platform["host"], platform["port"], "/control"), "the platform")
+        for region, settings in self._backends.items():
+            address_of = ("127.0.0.1", settings.control_port, "/ledger")
+            until(lambda a=address_of: self._answers(*a), f"backend servers of {region}")  # type: ignore[misc]
+        self.publish_vms()
+        self.operate("apply", str(self.deployment.folder / "policy.json"))
+        for entry_id in self.entry_ids:
+            self.start_entry(entry_id)
+        if steers:
+            for name in self.deployment.names("steer-"):
+                self.start_steer(name)
+        for entry_id in self.entry_ids:
+            until(lambda e=entry_id: self.ready(e), f"{entry_id} ready")  # type: ignore[misc]
+        return self
+
+    def start_entry(self, entry_id: str) -> None:
+        """Start one entry."""
+        path = str(self.deployment.folder / f"{entry_id}.json")
+        self.launcher.start(entry_id, self._entry_module, "--settings", path)
+
+    def start_steer(self, name: str) -> None:
+        """Start one steer."""
+        path = str(self.deployment.folder / f"{name}.json")
+        self.launcher.start(name, "briarspur.steer", "--settings", path)
+
+    def operate(self, *arguments: str) -> str:
+        """Run the operators' command line; return what it printed.
+
+        Raises
+        ------
+        NotReadyError
+            It did not end with exit code 0.
+        """
+        settings = str(self.deployment.folder / "cli.json")
+        name = f"operate-{arguments[0]}-{time.monotonic_ns()}"
+        self.launcher.start(name, "briarspur.cli", *arguments, "--settings", settings)
+        code = self.launcher.wait(name, READY_S)
+        text = self.launcher.log(name).read_text()
+        if code != 0:
+            raise NotReadyError(f"briarspur {' '.join(arguments)}: exit code {code}: {text}")
+        return text
+
+    # What entries say
+
+    def ready(self, entry_id: str) -> bool:
+        """Tell whether an entry takes requests."""
+        address = self.deployment.address(entry_id)
+        if not self.launcher.alive(entry_id):
+            log = self.launcher.log(entry_id).read_text()[-2000:]
+            raise NotReadyError(f"{entry_id} has ended: {log}")
+        return self._answers(address.host, address.port, "/readyz")
+
+    def status(self, entry_id: str) -> dict[str, Any] | None:
+        """Return what an entry says at ``/status``; None if it does not answer."""
+        address = self.deployment.address(entry_id)
+        try:
+            document: dict[str, Any] = call(address.host, address.port, "/status")
+        except (OSError, ValueError):
+            return None
+        return document
+
+    def versions_by_entry(self) -> dict[str, int]:
+        """Return the version of the policy in force at each entry that answers."""
+        found = {entry_id: self.status(entry_id) for entry_id in self.entry_ids}
+        return {name: status["policy_version"] for name, status in found.items() if status}
+
+    # The platform and the backend servers
+
+    def switch_platform(self, **switches: object) -> dict[str, Any]:
+        """Change switches of the platform; return its switches and counts."""
+        platform = self.deployment.documents_by_name["platform"]
+        document: dict[str, Any] = call(platform["host"], platform["port"], "/control", switches)
+        return document
+
+    def publish_vms(self, **states: VmState) -> None:
+        """Set the VM list, with the state of the named entries changed."""
+        for name, state in states.items():
+            self._vms[name.replace("_", "-")]["state"] = state
+        rows = [
+            {**{k: v for k, v in vm.items() if k != "vm_id"}, "id": vm["vm_id"]}
+            | {"state": VmState(vm["state"]).value}
+            for vm in self._vms.values()
+        ]
+        self.switch_platform(vms=rows)
+
+    def switch_target(self, target_id: str, **switches: object) -> None:
+        """Change switches of one target, ``*`` of all."""
+        for settings in self._backends.values():
+            body = {"target": target_id, **switches}
+            call("127.0.0.1", settings.control_port, "/control", body)
+
+    def ledgers(self) -> list[dict[str, Any]]:
+        """Return the ledger of each backend process."""
+        return [
+            call("127.0.0.1", settings.control_port, "/ledger")
+            for settings in self._backends.values()
+        ]
+
+    def counts(self, target_id: str) -> dict[str, Any]:
+        """Return what one target counted."""
+        for ledger in self.ledgers():
+            if target_id in ledger["counts_by_target"]:
+                found: dict[str, Any] = ledger["counts_by_target"][target_id]
+                return found
+        raise KeyError(target_id)
+
+    # Callers
+
+    def start_callers(self, seconds: float, loads: list[Load] | None = None) -> None:
+        """Start one process of callers in each region."""
+        seed = self.seed * 1000 + len(self._caller_runs)
+        for region, settings in self.deployment.callers(seed, seconds, loads).items():
+            name = f"callers-{region}-{seed}"
+            path = self.deployment.write(name, settings.model_dump(mode="json"))
+            self.launcher.start(name, "standins.caller", "--settings", str(path))
+            self._caller_runs.append(settings)
+
+    def callers_running(self) -> list[str]:
+        """Return the names of caller processes that have not ended."""
+        names = [f"{settings.name}-{settings.seed}" for settings in self._caller_runs]
+        return [name for name in names if self.launcher.alive(name)]
+
+    def finish_callers(self, patience: float) -> Report:
+        """Wait until every call has ended; return the sum of all reports."""
+        until(lambda: not self.callers_running(), "callers at their end", patience)
+        total = Report()
+        for settings in self._caller_runs:
+            log = self.launcher.log(f"{settings.name}-{settings.seed}")
+            path = Path(settings.report)
+            if not path.exists():
+                raise NotReadyError(f"no report: {log.read_text()[-2000:]}")
+            total.add(Report.load(path.read_text()))
+        return total
+
+    def wait_idle(self, patience: float = READY_S) -> list[dict[str, Any]]:
+        """Wait until no target runs anything; return the ledgers."""
+
+        def idle() -> bool:
+            ledgers = self.ledgers()
+            return all(
+                counts["in_flight"] == 0
+                for ledger in ledgers
+                for counts in ledger["counts_by_target"].values()
+            )
+
+        until(idle, "idle backend servers", patience)
+        return self.ledgers()
+
+    def _answers(self, host: str, port: int, path: str) -> bool:
+        try:
+            call(host, port, path)
+        except ValueError:
+            return True
+        except OSError:
+            return False
+        return True
