--- a/standins/caller.py
+++ b/standins/caller.py
@@ -58,6 +58,7 @@
     began: float
     code: int = NO_CODE
     maybe_run: bool = False
+    attempts: int = 0
     history: list[str] = field(default_factory=list)
 
 
@@ -174,6 +175,7 @@
         self, call: Call, entry: Address, patience: float
     ) -> tuple[Outcome, float | None]:
         """Send once; return the outcome, and after how long to repeat it (None: final)."""
+        call.attempts += 1
         delay = self.settings.delays.to_caller(entry.host, self.settings.region) / 1000
         await asyncio.sleep(delay)
         headers = {"Idempotency-Key": call.key} if call.key else {}
@@ -218,6 +220,7 @@
     def _note(self, call: Call, outcome: Outcome) -> None:
         report = self.report
         report.final(call.load.name, call.code, outcome)
+        report.repeated_calls += call.attempts > 1
         if outcome is Outcome.ANSWERED:
             report.answered(call.load.name, time.monotonic() - call.began)
         elif outcome in (Outcome.WRONG, Outcome.NONE) and len(report.faults) < MOST_FAULTS:
--- a/standins/callreport.py
+++ b/standins/callreport.py
@@ -51,6 +51,8 @@
         Every answer, those that were repeated included.
     fates_by_key : dict of str to str
         Value of :class:`Fate` for each key.
+    repeated_calls : int
+        Calls that took more than one attempt.
     """
 
     codes_by_load: dict[str, Counter[str]] = field(default_factory=dict)
@@ -60,6 +62,7 @@
     histograms_by_load: dict[str, Any] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
     lookups: int = 0
+    repeated_calls: int = 0
 
     def answered(self, load: str, seconds: float) -> None:
         """Record the latency of a whole answer."""
@@ -94,6 +97,7 @@
         self.fates_by_key.update(other.fates_by_key)
         self.faults.extend(other.faults)
         self.lookups += other.lookups
+        self.repeated_calls += other.repeated_calls
 
     def milliseconds(self, load: str, percentile: float) -> float:
         """Return a percentile of the latency of whole answers; 0 if there was none."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -8,7 +8,7 @@
 
 from pydantic import Field
 
-from briarspur.documents import Document, load_settings
+from briarspur.documents import Document, parse
 from briarspur.objects import Vm, VmState
 from briarspur.policy import PolicyDocument, parse_policy
 from standins.callersettings import Address, CallerSettings, Load
@@ -86,13 +86,22 @@
     @classmethod
     def load(cls, name: str, folder: Path) -> "Deployment":
         """Read the example ``name`` and write its files, with free ports, to ``folder``."""
+        files = sorted((EXAMPLES / name).glob("*.json"))
+        documents = {file.stem: json.loads(file.read_text()) for file in files}
+        return cls.build(documents, folder)
+
+    @classmethod
+    def build(cls, documents_by_name: dict[str, dict[str, Any]], folder: Path) -> "Deployment":
+        """Write documents, with free ports, to ``folder``; "standins" is kept in memory."""
         ports = PortMap()
-        documents = {}
-        for file in sorted((EXAMPLES / name).glob("*.json")):
-            if file.stem == "standins":
-                continue
-            documents[file.stem] = ports.replace(json.loads(file.read_text()))
-        standins = load_settings(StandinSettings, str(EXAMPLES / name / "standins.json"))
+        standins = parse(
+            StandinSettings, json.dumps(documents_by_name["standins"]), "standins.json"
+        )
+        documents = {
+            stem: ports.replace(document)
+            for stem, document in documents_by_name.items()
+            if stem != "standins"
+        }
         deployment = cls(folder, documents, standins)
         for stem, document in documents.items():
             deployment.write(stem, document)
--- a/standins/system.py
+++ b/standins/system.py
@@ -189,6 +189,18 @@
             for settings in self._backends.values()
         ]
 
+    def bookings(self) -> int:
+        """Return how many keys have been recorded."""
+        return sum(len(ledger["runs_by_key"]) for ledger in self.ledgers())
+
+    def total(self, count: str) -> int:
+        """Return one count, summed over all targets."""
+        return sum(
+            counts[count]
+            for ledger in self.ledgers()
+            for counts in ledger["counts_by_target"].values()
+        )
+
     def counts(self, target_id: str) -> dict[str, Any]:
         """Return what one target counted."""
         for ledger in self.ledgers():
