--- a/standins/backend.py
+++ b/standins/backend.py
@@ -334,11 +334,13 @@
         return NOT_DONE_YET
 
     def _control(self, request: Request, body: bytes) -> None:
-        """Change switches of ``target`` (``*``: all); ``crash`` crashes it."""
+        """Change switches of ``target`` (``*``: all); ``crash`` and ``reset_peaks`` act once."""
         try:
             changes = json.loads(body)
             name = changes.pop("target", "*")
             crash = changes.pop("crash", False)
+            if changes.pop("reset_peaks", False):
+                self.ledger.reset_peaks()
             chosen = [t for t in self.targets_by_id.values() if name in ("*", t.settings.target_id)]
             for target in chosen:
                 target.switch(changes)
--- a/standins/system.py
+++ b/standins/system.py
@@ -82,6 +82,7 @@
         self._backends = deployment.backends(seed)
         self._vms = {vm.vm_id: asdict(vm) for vm in deployment.vms()}
         self._caller_runs: list[CallerSettings] = []
+        self._past_runs = 0
 
     def start(self, steers: bool = True) -> Self:
         """Start all but the callers; return once every entry is ready."""
@@ -213,7 +214,7 @@
 
     def start_callers(self, seconds: float, loads: list[Load] | None = None) -> None:
         """Start one process of callers in each region."""
-        seed = self.seed * 1000 + len(self._caller_runs)
+        seed = self.seed * 1000 + self._past_runs + len(self._caller_runs)
         for region, settings in self.deployment.callers(seed, seconds, loads).items():
             name = f"callers-{region}-{seed}"
             path = self.deployment.write(name, settings.model_dump(mode="json"))
@@ -237,6 +238,16 @@
             total.add(Report.load(path.read_text()))
         return total
 
+    def forget_callers(self) -> None:
+        """Leave the callers so far out of later reports; their seeds are not used again."""
+        self._past_runs += len(self._caller_runs)
+        self._caller_runs.clear()
+
+    def lose_backends(self, region: str) -> None:
+        """Kill the backend servers of a region; its ledger is lost with them."""
+        self.launcher.kill(f"backend-{region}")
+        del self._backends[region]
+
     def wait_idle(self, patience: float = READY_S) -> list[dict[str, Any]]:
         """Wait until no target runs anything; return the ledgers."""
 
--- a/standins/targetmodel.py
+++ b/standins/targetmodel.py
@@ -158,6 +158,12 @@
         """Record one booking."""
         self.runs_by_key.setdefault(key, []).append(target_id)
 
+    def reset_peaks(self) -> None:
+        """Begin to measure peaks anew, and counts of what was shed."""
+        for counts in (*self.counts_by_target.values(), *self.counts_by_region.values()):
+            counts.peak_in_flight = counts.in_flight
+            counts.shed = 0
+
     def document(self) -> dict[str, Any]:
         """Return the ledger as JSON."""
         return asdict(self)
