--- a/briarspur/explain.py
+++ b/briarspur/explain.py
@@ -5,13 +5,17 @@
 """
 
 import ipaddress
+import math
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
+from briarspur.blocks import BlockTable, parse_block
+from briarspur.classify import Classifier
+from briarspur.messages import Request
 from briarspur.policy import Policy, Rule, Service, TargetState
 
-__all__ = ["Explanation", "RegionChoice", "explain", "home_of", "region_order"]
+__all__ = ["Explanation", "RegionChoice", "explain", "region_order"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,57 +63,51 @@
     client : str
         IP number of the caller.
     """
-    try:
-        address = ipaddress.ip_address(client)
-    except ValueError:
+    block = parse_block(client)
+    if block is None:
         return Error(f"{client} is not an IP number")
-    service = _service_of(policy, path)
-    if service is None:
-        return Error(f"no service's path is a prefix of {path}: refused with UNKNOWN_SERVICE")
-    found = _rule_of(service, method, path)
-    if found is None:
-        return Error(f"no rule of {service.name} takes {method} {path}: refused")
-    index, rule = found
-    home, home_reason = home_of(policy, address)
-    regions = region_order(policy, service, home)
+    table = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
+    request = Request("explain", method, path, None, b"", block, deadline=math.inf)
+    found = Classifier(policy, table.home).classify(request, now=0.0)
+    if found.is_error():
+        code = found.error.code
+        return Error(f"refused with {int(code)} {code.name}: {found.error.detail}")
+    classified = found.ok
+    regions = region_order(policy, classified.service, classified.home)
     return Ok(
         Explanation(
             policy_version=policy.version,
-            service=service.name,
-            rule_index=index,
-            rule=rule,
-            home=home,
-            home_reason=home_reason,
+            service=classified.service.name,
+            rule_index=classified.service.rules.index(classified.rule),
+            rule=classified.rule,
+            home=classified.home,
+            home_reason=_home_reason(policy, client),
             regions=regions,
-            notes=_notes(rule, regions),
+            notes=_notes(classified.rule, regions),
         )
     )
 
 
-def home_of(
-    policy: Policy, address: ipaddress.IPv4Address | ipaddress.IPv6Address
-) -> tuple[str, str]:
-    """Return the home region of a caller and the reason for it."""
-    fitting = [
-        network
-        for network in map(ipaddress.ip_network, policy.homes_by_prefix)
-        if address in network
-    ]
+def _home_reason(policy: Policy, client: str) -> str:
+    """Return which prefix gives a caller its home region."""
+    address = ipaddress.ip_address(client)
+    networks = [ipaddress.ip_network(prefix) for prefix in policy.homes_by_prefix]
+    fitting = [network for network in networks if address in network]
     if not fitting:
-        return policy.default_home, "no prefix of blocks.by_prefix fits: blocks.default"
-    longest = max(fitting, key=lambda network: network.prefixlen)
-    return policy.homes_by_prefix[str(longest)], f"longest prefix that fits: {longest}"
+        return "no prefix of blocks.by_prefix fits: blocks.default"
+    return f"longest prefix that fits: {max(fitting, key=lambda network: network.prefixlen)}"
 
 
 def region_order(policy: Policy, service: Service, home: str) -> tuple[RegionChoice, ...]:
     """Return the regions of a service for callers of ``home``, the preferred ones first."""
     shares = service.split_by_home.get(home, {home: 1.0})
     planned = sorted((r for r in shares if shares[r] > 0), key=lambda r: (-shares[r], r))
-    spill = [r for r in policy.regions_by_name[home].spill_to if r not in planned]
-    if home not in planned and home not in spill:
-        spill.append(home)
+    spill = [r for r in (home, *policy.regions_by_name[home].spill_to) if r not in planned]
     choices = [_choice(policy, service, r, "the split of the policy", shares[r]) for r in planned]
-    choices += [_choice(policy, service, r, f"spill_to of {home}", 0.0) for r in spill]
+    choices += [
+        _choice(policy, service, r, "home" if r == home else f"spill_to of {home}", 0.0)
+        for r in spill
+    ]
     return tuple(choices)
 
 
@@ -128,26 +126,6 @@
     )
 
 
-def _service_of(policy: Policy, path: str) -> Service | None:
-    """Return the service with the longest path that is a prefix, by whole segments."""
-    fitting = [
-        service for service in policy.services_by_name.values() if _below(path, service.path)
-    ]
-    return max(fitting, key=lambda service: len(service.path), default=None)
-
-
-def _below(path: str, prefix: str) -> bool:
-    bare = prefix.rstrip("/")
-    return path == bare or path.startswith((bare + "/", bare + "?"))
-
-
-def _rule_of(service: Service, method: str, path: str) -> tuple[int, Rule] | None:
-    for index, rule in enumerate(service.rules):
-        if method in rule.methods and (path + "/").startswith(rule.path):
-            return index, rule
-    return None
-
-
 def _notes(rule: Rule, regions: tuple[RegionChoice, ...]) -> tuple[str, ...]:
     notes = [f"{rule.kind.value}, deadline {rule.deadline:g} s, priority {rule.priority.name}"]
     if not any(choice.target_ids for choice in regions):
--- a/briarspur/porcelain.py
+++ b/briarspur/porcelain.py
@@ -45,7 +45,7 @@
 ]
 
 STATUS_PATH = "/status"
-LOOKUP_PATH = "/lookup"
+LOOKUP_PATH = "/v1/lookup"
 ASKED_AT_ONCE = 20
 RACE_ATTEMPTS = 3
 
@@ -278,7 +278,7 @@
     not_answering: dict[str, str] = {}
     path = f"{LOOKUP_PATH}?service={quote(service, safe='')}"
     if client is not None:
-        path += f"&client={quote(client, safe='')}"
+        path += f"&block={quote(client, safe=':')}"
     for endpoint in await directory.endpoints():
         try:
             answer = await fetcher.get_json(endpoint, path)
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -168,4 +168,4 @@
         entries.answers["e2"] = {"entries": []}
         report = await porcelain.lookup(entries, entries, "times", "10.0.0.1")
         self.assertEqual((report.asked, list(report.not_answering)), ("e2", ["e1"]))
-        self.assertEqual(entries.paths[-1], "/lookup?service=times&client=10.0.0.1")
+        self.assertEqual(entries.paths[-1], "/v1/lookup?service=times&block=10.0.0.1")
