The operators' command line, and its exit codes

One small class a command over porcelain. A policy is applied only at the version its author names; a conflict shows both edits. A write without an answer that cannot be settled has an exit code of its own, so a script never takes it for refused.

--- /dev/null
+++ b/briarspur/cli.py
@@ -0,0 +1,325 @@
+"""The operators' command line ``briarspur``: one class a command, thin over ``porcelain``."""
+
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from expression import Result
+
+from briarspur import porcelain, printing
+from briarspur.clicontext import Context, open_context, read_file, show
+from briarspur.coord.errors import StoreError, StoreUnavailableError, StoreUnclearError
+from briarspur.errors import DocumentError, PeerError
+from briarspur.exits import ExitCode
+from briarspur.explain import explain
+from briarspur.oneshot import run_once
+from briarspur.policy import TargetState, compile_policy, parse_policy
+from briarspur.porcelain import Accepted, Race, Refused
+
+__all__ = ["Briarspur", "main"]
+
+Note = Annotated[str, cappa.Arg(long=True, default="", help="why, for the history")]
+Expected = Annotated[
+    int,
+    cappa.Arg(
+        long="--expect-version",
+        default=0,
+        help="the version you edited; 0 if there must be no policy yet",
+    ),
+]
+Wait = Annotated[
+    float,
+    cappa.Arg(long=True, default=0.0, help="seconds to wait until it is done everywhere"),
+]
+
+
+def _accepted_or_not(context: Context, result: Result[Accepted, Race | Refused]) -> ExitCode:
+    if result.is_ok():
+        show(context, result.ok, printing.accepted_text)
+        return ExitCode.OK
+    if isinstance(result.error, Race):
+        show(context, result.error, printing.race_text)
+        return ExitCode.CONFLICT
+    show(context, result.error, lambda refused: f"refused: {refused.reason}")
+    return ExitCode.REFUSED
+
+
+@cappa.command(epilog="Example: `briarspur check policy.json`")
+@dataclass
+class Check:
+    """Check a policy file without applying it; needs no store."""
+
+    file: str
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print every fault and warning."""
+        report = porcelain.check(read_file(self.file), self.file)
+        show(context, report, printing.check_text)
+        return ExitCode.INVALID if report.faults else ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur diff policy.json`")
+@dataclass
+class Diff:
+    """Show what a policy file would change in the version in force."""
+
+    file: str
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print the changes."""
+        document = parse_policy(read_file(self.file), self.file)
+        report = await porcelain.diff(context.repository, document)
+        show(context, report, printing.diff_text)
+        return ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur apply policy.json --expect-version 17 --note 'cap 40'`")
+@dataclass
+class Apply:
+    """Put a policy file in force, if the policy is still at the version you edited."""
+
+    file: str
+    expected_version: Expected = 0
+    note: Note = ""
+
+    async def run(self, context: Context) -> ExitCode:
+        """Write the policy, or show the racing edit."""
+        document = parse_policy(read_file(self.file), self.file)
+        result = await porcelain.apply(
+            context.repository, document, self.expected_version, context.sign(self.note)
+        )
+        return _accepted_or_not(context, result)
+
+
+@cappa.command(epilog="Example: `briarspur show > policy.json`")
+@dataclass
+class Show:
+    """Print the policy in force, or a past version, as a document to edit."""
+
+    version: Annotated[int | None, cappa.Arg(long=True, help="a past version")] = None
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print the document alone, or with ``--json`` the whole revision."""
+        if self.version is None:
+            revision = await context.repository.current()
+        else:
+            revision = await context.repository.revision(self.version)
+        if revision is None:
+            print("no such policy", file=sys.stderr)
+            return ExitCode.REFUSED
+        show(context, revision, lambda found: printing.to_json(found.document))
+        if not context.json:
+            print(f"version {revision.version}", file=sys.stderr)
+        return ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur status --wait 18`")
+@dataclass
+class Status:
+    """Ask every entry: version in force by zone, lease, drains, budgets left."""
+
+    wait: Wait = 0.0
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print the summary, once the version is in force everywhere or the time is over."""
+        deadline = context.now() + self.wait
+        while True:
+            fleet = await porcelain.status(context.repository, context.directory, context.fetcher)
+            if self.wait == 0 or fleet.in_force_everywhere or context.now() >= deadline:
+                break
+            await context.sleep(context.interval)
+        show(context, fleet, printing.fleet_text)
+        return ExitCode.NOT_DONE if self.wait and not fleet.in_force_everywhere else ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur drain quay-3 --wait 600 --note 'new disk'`")
+@dataclass
+class Drain:
+    """Let a target finish its work and give it no new work."""
+
+    target: str
+    wait: Wait = 0.0
+    note: Note = ""
+
+    async def run(self, context: Context) -> ExitCode:
+        """Set the target leaving; with ``--wait``, print progress until it is drained."""
+        signature = context.sign(self.note or f"drain {self.target}")
+        result = await porcelain.set_target_state(
+            context.repository, self.target, TargetState.LEAVING, signature
+        )
+        code = _accepted_or_not(context, result)
+        if code is not ExitCode.OK or self.wait == 0:
+            return code
+        deadline = context.now() + self.wait
+        async for progress in porcelain.drain_progress(
+            self.target,
+            result.ok.revision.version,
+            context.directory,
+            context.fetcher,
+            context.sleep,
+            context.interval,
+        ):
+            show(context, progress, printing.drain_text)
+            if progress.done:
+                return ExitCode.OK
+            if context.now() >= deadline:
+                break
+        return ExitCode.NOT_DONE
+
+
+@cappa.command(epilog="Example: `briarspur undrain quay-3`")
+@dataclass
+class Undrain:
+    """Give a target new work again."""
+
+    target: str
+    note: Note = ""
+
+    async def run(self, context: Context) -> ExitCode:
+        """Set the target active."""
+        signature = context.sign(self.note or f"undrain {self.target}")
+        result = await porcelain.set_target_state(
+            context.repository, self.target, TargetState.ACTIVE, signature
+        )
+        return _accepted_or_not(context, result)
+
+
+@cappa.command(epilog="Example: `briarspur lookup booking --client 10.2.0.9`")
+@dataclass
+class Lookup:
+    """Ask which entries a caller should use, as a caller would, and say why."""
+
+    service: str
+    client: Annotated[str | None, cappa.Arg(long=True, help="a caller's IP number")] = None
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print the answer."""
+        report = await porcelain.lookup(
+            context.repository, context.directory, context.fetcher, self.service, self.client
+        )
+        show(context, report, printing.lookup_text)
+        return ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur explain POST /booking/new --client 10.2.0.9`")
+@dataclass
+class Explain:
+    """Say which rule, regions and targets the policy gives a request."""
+
+    method: str
+    path: str
+    client: Annotated[str, cappa.Arg(long=True, help="the caller's IP number")] = "127.0.0.1"
+    file: Annotated[str | None, cappa.Arg(long=True, help="a policy file, not yet applied")] = None
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print the explanation."""
+        if self.file is not None:
+            policy = compile_policy(parse_policy(read_file(self.file), self.file), version=0)
+        else:
+            current = await context.repository.current()
+            if current is None:
+                print("no policy is in force", file=sys.stderr)
+                return ExitCode.REFUSED
+            policy = compile_policy(current.document, current.version)
+        found = explain(policy, self.method, self.path, self.client)
+        if found.is_error():
+            print(found.error, file=sys.stderr)
+            return ExitCode.REFUSED
+        show(context, found.ok, printing.explanation_text)
+        return ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur history --limit 5`")
+@dataclass
+class History:
+    """List the versions of the policy, the newest first."""
+
+    limit: Annotated[int, cappa.Arg(long=True)] = 20
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print version, time, author and note."""
+        show(context, await context.repository.history(self.limit), printing.history_text)
+        return ExitCode.OK
+
+
+@cappa.command(epilog="Example: `briarspur rollback 17 --expect-version 23`")
+@dataclass
+class Rollback:
+    """Put a past version in force again, as a new and higher version."""
+
+    version: int
+    expected_version: Expected = 0
+    note: Note = ""
+
+    async def run(self, context: Context) -> ExitCode:
+        """Write the past document on top of the expected version."""
+        signature = context.sign(self.note or f"rollback to {self.version}")
+        result = await porcelain.rollback(
+            context.repository, self.version, self.expected_version, signature
+        )
+        return _accepted_or_not(context, result)
+
+
+Verb = (
+    Check | Diff | Apply | Show | Status | Drain | Undrain | Lookup | Explain | History | Rollback
+)
+
+
+@cappa.command(name="briarspur")
+@dataclass
+class Briarspur:
+    """Steer traffic: write the policy, see it in force, drain servers, ask why."""
+
+    verb: cappa.Subcommands[Verb]
+    settings: Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            propagate=True,
+            default=cappa.Env("BRIARSPUR_SETTINGS", default=None),
+            help="JSON file (or $BRIARSPUR_SETTINGS)",
+        ),
+    ] = None
+    json: Annotated[bool, cappa.Arg(long=True, propagate=True, help="print JSON")] = False
+    author: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            propagate=True,
+            default=cappa.Env("USER", default="unknown"),
+            help="your name, for the history (or $USER)",
+        ),
+    ] = "unknown"
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command; return its exit code."""
+    arguments = cappa.parse(Briarspur, argv=list(argv) if argv is not None else None)
+    try:
+        return run_once(lambda: _run(arguments))
+    except DocumentError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.INVALID
+    except StoreUnclearError as error:
+        print(f"unsettled: {error}", file=sys.stderr)
+        return ExitCode.UNSETTLED
+    except StoreUnavailableError as error:
+        print(f"the store is unavailable: {error}", file=sys.stderr)
+        return ExitCode.STORE_UNAVAILABLE
+    except PeerError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.NO_ENTRY
+    except (StoreError, KeyboardInterrupt) as error:
+        print(f"failed: {error!r}", file=sys.stderr)
+        return ExitCode.FAILED
+
+
+async def _run(arguments: Briarspur) -> ExitCode:
+    async with open_context(arguments.settings, arguments.json, arguments.author) as context:
+        return await arguments.verb.run(context)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/briarspur/levelhistory.py
+++ b/briarspur/levelhistory.py
@@ -1,8 +1,8 @@
 """The service-level history in the object store: one object a service and hour.
 
-``levels/<service>/<hour>`` holds the minutes of one hour with a histogram of latencies for each. The
-hour is the Unix time over 3,600, in 8 digits. It costs one read and one write a minute and service;
-what is older than three days is deleted as new hours begin.
+``levels/<service>/<hour>`` holds the minutes of one hour with a histogram of latencies for each.
+The hour is the Unix time over 3,600, in 8 digits. It costs one read and one write a minute and
+service; what is older than three days is deleted as new hours begin.
 """
 
 import math
--- a/briarspur/porcelain.py
+++ b/briarspur/porcelain.py
@@ -16,9 +16,10 @@
 from briarspur.change import Change, Comparison, compare, difference
 from briarspur.coord.store import ABSENT
 from briarspur.errors import DocumentError, Fault, PeerError
+from briarspur.explain import RegionChoice, region_order
 from briarspur.fetch import Endpoint, Fetcher
 from briarspur.lint import warnings_of
-from briarspur.policy import PolicyDocument, TargetState, parse_policy
+from briarspur.policy import PolicyDocument, TargetState, compile_policy, parse_policy
 from briarspur.repository import PolicyRepository
 from briarspur.revision import Draft, Revision
 from briarspur.status import EntryStatus, FleetStatus, summarize
@@ -140,11 +141,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LookupReport:
-    """The answer a caller would get, and who gave it."""
+    """The answer a caller would get, who gave it, and why it is so."""
 
     asked: str
     answer: dict[str, Any]
     not_answering: dict[str, str]
+    reasons: tuple[str, ...]
 
 
 def check(text: str | bytes, source: str = "policy") -> CheckReport:
@@ -261,7 +263,11 @@
 
 
 async def lookup(
-    directory: Directory, fetcher: Fetcher, service: str, client: str | None
+    repository: PolicyRepository,
+    directory: Directory,
+    fetcher: Fetcher,
+    service: str,
+    client: str | None,
 ) -> LookupReport:
     """Ask as a caller would: the entries in turn, until one answers.
 
@@ -285,8 +291,10 @@
         except PeerError as error:
             not_answering[endpoint.name] = str(error)
             continue
-        return LookupReport(endpoint.name, answer, not_answering)
-    raise PeerError("no entry answered: " + "; ".join(not_answering.values()))
+        reasons = _reasons(await repository.current(), service, answer)
+        return LookupReport(endpoint.name, answer, not_answering, reasons)
+    why = "; ".join(not_answering.values()) or "the VM list is empty"
+    raise PeerError(f"no entry answered: {why}")
 
 
 def as_json(document: PolicyDocument) -> dict[str, Any]:
@@ -294,6 +302,32 @@
     return document.model_dump(mode="json")
 
 
+def _reasons(current: Revision | None, service: str, answer: dict[str, Any]) -> tuple[str, ...]:
+    """Return why a look-up was answered so, as far as answer and policy tell."""
+    if current is None or service not in current.document.services:
+        return ("the service is not in the policy in force",)
+    policy = compile_policy(current.document, current.version)
+    home = str(answer.get("home", policy.default_home))
+    reasons = [f"home region of the caller: {home}"]
+    if answer.get("policy_version", current.version) != current.version:
+        reasons.append(f"the entry has version {answer['policy_version']}, not {current.version}")
+    entries = answer.get("entries") or [{}]
+    zone = policy.entry_zones.get(str(entries[0].get("id")), "")
+    region = policy.zone_regions.get(zone, "unknown")
+    reasons.append(f"the first entry, in region {region}, owns a target of the service there")
+    for choice in region_order(policy, policy.services_by_name[service], home):
+        if choice.region == region:
+            break
+        reasons.append(f"region {choice.region} was passed over: {_passed_over(choice)}")
+    return tuple(reasons)
+
+
+def _passed_over(choice: RegionChoice) -> str:
+    if not choice.target_ids:
+        return "no target takes new work there"
+    return "none of its entries is serving, as the entry that answered sees them"
+
+
 async def _document_of(repository: PolicyRepository, version: int) -> dict[str, Any] | None:
     if version == ABSENT:
         return {}
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -163,9 +163,12 @@
 
     async def test_lookup_asks_the_next_entry(self) -> None:
         entries = FakeEntries(["e1", "e2"])
+        repository = PolicyRepository(FakeStore(), at_once)
+        await porcelain.apply(repository, parsed(small_policy()), ABSENT, sign("t1"))
         with self.assertRaises(PeerError):
-            await porcelain.lookup(entries, entries, "times", None)
-        entries.answers["e2"] = {"entries": []}
-        report = await porcelain.lookup(entries, entries, "times", "10.0.0.1")
+            await porcelain.lookup(repository, entries, entries, "times", None)
+        entries.answers["e2"] = {"entries": [{"id": "entry-3"}], "home": "north"}
+        report = await porcelain.lookup(repository, entries, entries, "times", "10.0.0.1")
+        self.assertIn("region north was passed over", report.reasons[-1])
         self.assertEqual((report.asked, list(report.not_answering)), ("e2", ["e1"]))
         self.assertEqual(entries.paths[-1], "/v1/lookup?service=times&block=10.0.0.1")
