--- a/briarspur/clicontext.py
+++ b/briarspur/clicontext.py
@@ -12,6 +12,7 @@
 
 from twisted.internet.interfaces import IReactorTCP
 
+from briarspur.coord.store import ObjectStore
 from briarspur.documents import load_settings
 from briarspur.errors import Fault, SettingsError
 from briarspur.fetch import Endpoint, Fetcher, HttpFetcher
@@ -48,6 +49,7 @@
     _repository: PolicyRepository | None = None
     _directory: Directory | None = None
     _fetcher: Fetcher | None = None
+    _store: ObjectStore | None = None
     interval: float = INTERVAL_S
     now: Callable[[], float] = time.monotonic
     sleep: Callable[[float], "asyncio.Future[None]"] = field(default=asyncio.sleep)  # type: ignore[assignment]
@@ -67,6 +69,11 @@
         """How entries are asked."""
         return _needed(self._fetcher)
 
+    @property
+    def store(self) -> ObjectStore:
+        """The platform's objects."""
+        return _needed(self._store)
+
     def sign(self, note: str) -> Signature:
         """Return a signature with a token that no other write has."""
         return sign(self.author, note)
@@ -89,7 +96,7 @@
 
     fetcher = HttpFetcher(cast(IReactorTCP, reactor), platform.timeout_s)
     async with HttpObjectStore(platform) as store, VmList(platform) as vms:
-        yield Context(json, author, PolicyRepository(store), VmDirectory(vms), fetcher)
+        yield Context(json, author, PolicyRepository(store), VmDirectory(vms), fetcher, store)
 
 
 def read_file(path: str) -> bytes:
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -22,6 +22,10 @@
     "plan-in-force": "a plan came into force",
     "refused": "a request got a final answer of our own",
     "failed": "a request ended without a whole answer",
+    "levels-not-collected": "service-level counts of a minute could not be collected",
+    "levels-not-written": "service-level counts wait because the store does not take them",
+    "change-accepted": "an operator's change of the policy is in force in the store",
+    "change-refused": "an operator's change was not taken: a conflict, a fault or no token",
     "invariant-violated": "a property that must always hold did not hold",
     "internal-error": "a fault of briarspur",
 }
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,103 @@
+"""Tests of collecting service levels and of the report."""
+
+import json
+import unittest
+
+from briarspur.burn import Burn, BurnReader, live_report, read_report
+from briarspur.burnreport import BurnReport, report_html, report_text
+from briarspur.codes import Code
+from briarspur.coord.store import ABSENT
+from briarspur.levelhistory import LevelHistory
+from briarspur.levels import Levels
+from briarspur.plots import Point, value_plot
+from briarspur.printing import to_json
+from briarspur.repository import PolicyRepository
+from briarspur.windows import SLOT_S, Severity
+from tests.examples import small_policy
+from tests.fakes import FakeStore, at_once
+from tests.test_porcelain import FakeEntries
+
+START = 28_800_000 * SLOT_S + 2.0
+
+
+class BurnTest(unittest.IsolatedAsyncioTestCase):
+    """From the entries' counts through the store to the report."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = FakeStore()
+        envelope = {"token": "t", "author": "", "note": "", "body": small_policy()}
+        await self.store.put("policy", json.dumps(envelope).encode(), ABSENT)
+        self.repository = PolicyRepository(self.store, at_once)
+        self.entries = FakeEntries(["e1", "<b>e2"])
+        self.reader = BurnReader(self.entries, self.entries)
+        self.history = LevelHistory(self.store)
+        self.now = START
+        self.burn = Burn(self.repository, self.reader, self.history, lambda: self.now)
+        self.levels = Levels("e1", "a", "north-a", START - 1_000)
+        self.levels.set_objectives({"times": 0.5, "booking": 0.5})
+
+    async def minute(self, good: int, bad: int) -> None:
+        for _ in range(good):
+            self.levels.record("times", "north", Code.ANSWERED, 0.02)
+        for _ in range(bad):
+            self.levels.record("times", "south", Code.REGION_FULL, 0.02)
+        self.now += SLOT_S
+        self.entries.answers["e1"] = self.levels.snapshot(self.now)
+        await self.burn.collect()
+
+    async def report(self) -> BurnReport:
+        report = await read_report(self.repository, self.history, None, self.now)
+        assert report is not None
+        return report
+
+    async def test_what_burns_and_what_is_missing_is_named(self) -> None:
+        for _ in range(7):
+            await self.minute(good=90, bad=10)
+        report = await self.report()
+        worst = report.services[0].burn
+        self.assertEqual((worst.service, worst.severity), ("times", Severity.PAGE))
+        self.assertEqual((worst.worst_regions[0][0], worst.worst_codes[0][0]), ("south", 2101))
+        self.assertEqual(worst.windows[0].coverage, 0.5)
+        self.assertIs(report.services[1].burn.severity, Severity.UNKNOWN)
+        text = report_text(report)
+        self.assertIn("missing: <b>e2: no answer (7 min)", text)
+        self.assertIn("p99 20", text)
+        json.loads(to_json(report))
+
+    async def test_the_page_stands_alone_and_is_escaped(self) -> None:
+        await self.minute(good=5, bad=0)
+        await self.minute(good=5, bad=0)
+        page = report_html(await self.report())
+        self.assertIn("<svg", page)
+        self.assertIn("&lt;b&gt;e2", page)
+        for outside in ("<b>e2", "http:", "https:", "<script", "url("):
+            self.assertNotIn(outside, page)
+
+    async def test_minutes_wait_for_the_store(self) -> None:
+        # The store is down for some minutes while callers are refused. Had the collector dropped
+        # those minutes, the outage would be missing from the report of the very time it hurt.
+        await self.minute(good=1, bad=0)
+        self.store.unsent = 100
+        await self.minute(good=0, bad=4)
+        self.store.unsent = 0
+        await self.minute(good=1, bad=0)
+        report = await self.report()
+        times = next(s.burn for s in report.services if s.burn.service == "times")
+        self.assertEqual((times.windows[0].good, times.windows[0].bad), (1, 4))
+
+    async def test_without_a_collector_the_entries_sums_are_shown(self) -> None:
+        self.levels.record("times", "north", Code.ANSWERED, 0.02)
+        self.entries.answers["e1"] = self.levels.snapshot(self.now)
+        report = await live_report(self.repository, self.reader, self.now)
+        assert report is not None
+        times = next(s.burn for s in report.services if s.burn.service == "times")
+        self.assertEqual((times.windows[0].good, times.severity), (1, Severity.UNKNOWN))
+
+
+class PlotTest(unittest.TestCase):
+    """A plot never joins what was measured across a gap."""
+
+    def test_a_gap_breaks_the_line(self) -> None:
+        points = [Point(0, 1.0), Point(1, 2.0), Point(2, None), Point(3, 2.0), Point(4, 1.0)]
+        self.assertEqual(value_plot("t", points, []).count("<polyline"), 2)
+        self.assertIn("no data", value_plot("t", [Point(0, None)], []))
