--- a/briarspur/collect.py
+++ b/briarspur/collect.py
@@ -124,6 +124,8 @@
 ) -> Slot:
     """Return what was counted between two documents of one incarnation."""
     before = {(count.region, count.code): count for count in earlier.counts}
+    if before.keys() - {(count.region, count.code) for count in later.counts}:
+        raise ValueError("its counts fell without a restart")
     slot = Slot(start)
     for count in later.counts:
         last = before.get((count.region, count.code))
@@ -133,6 +135,7 @@
             raise ValueError("its counts fell without a restart")
         slot.good += good
         slot.bad += bad
+        slot.all_by_region[count.region] += good + bad
         if bad:
             slot.bad_by_region[count.region] += bad
             slot.bad_by_code[count.code] += bad
@@ -143,6 +146,7 @@
 def _merge_into(total: Slot, part: Slot) -> None:
     total.good += part.good
     total.bad += part.bad
+    total.all_by_region.update(part.all_by_region)
     total.bad_by_region.update(part.bad_by_region)
     total.bad_by_code.update(part.bad_by_code)
     total.bad_by_entry.update(part.bad_by_entry)
--- a/briarspur/levelhistory.py
+++ b/briarspur/levelhistory.py
@@ -36,7 +36,8 @@
     bad: int = Field(ge=0)
     expected_s: float = Field(ge=0.0)
     covered_s: float = Field(ge=0.0)
-    regions: dict[str, int] = Field(default={})
+    answers: dict[str, int] = Field(default={}, description="all answers by region")
+    regions: dict[str, int] = Field(default={}, description="bad answers by region")
     codes: dict[str, int] = Field(default={})
     entries: dict[str, int] = Field(default={})
     missing: dict[str, int] = Field(default={})
@@ -147,6 +148,7 @@
         bad=slot.bad,
         expected_s=slot.expected_s,
         covered_s=slot.covered_s,
+        answers=dict(slot.all_by_region),
         regions=_most(slot.bad_by_region, MAX_KEYS),
         codes={str(code): count for code, count in slot.bad_by_code.items()},
         entries=_most(slot.bad_by_entry, MAX_KEYS),
@@ -173,6 +175,7 @@
         bad=slot.bad,
         expected_s=slot.expected_s,
         covered_s=slot.covered_s,
+        all_by_region=Counter(slot.answers),
         bad_by_region=Counter(slot.regions),
         bad_by_code=Counter({int(code): count for code, count in slot.codes.items()}),
         bad_by_entry=Counter(slot.entries),
--- a/briarspur/windows.py
+++ b/briarspur/windows.py
@@ -26,6 +26,7 @@
     "WindowBurn",
     "burn_of",
     "coalesce",
+    "split_now",
     "sum_slots",
 ]
 
@@ -94,6 +95,8 @@
         How many minutes it sums; more than 1 only for hours long past.
     expected_s, covered_s : float
         Entry-seconds that there were, and those of which counts are known.
+    all_by_region : Counter
+        All answers by the region that gave them.
     bad_by_region, bad_by_code, bad_by_entry : Counter
         Bad answers by each key; codes by number.
     missing : Counter
@@ -106,6 +109,7 @@
     bad: int = 0
     expected_s: float = 0.0
     covered_s: float = 0.0
+    all_by_region: Counter[str] = field(default_factory=Counter)
     bad_by_region: Counter[str] = field(default_factory=Counter)
     bad_by_code: Counter[int] = field(default_factory=Counter)
     bad_by_entry: Counter[str] = field(default_factory=Counter)
@@ -192,6 +196,7 @@
         total.bad += slot.bad
         total.expected_s += slot.expected_s
         total.covered_s += slot.covered_s
+        total.all_by_region.update(slot.all_by_region)
         total.bad_by_region.update(slot.bad_by_region)
         total.bad_by_code.update(slot.bad_by_code)
         total.bad_by_entry.update(slot.bad_by_entry)
@@ -218,6 +223,14 @@
     return [sum_slots(found) for _, found in sorted(by_hour.items())] + result
 
 
+def split_now(slots: Sequence[Slot], now: float) -> dict[str, float]:
+    """Return the share of answers that each region gave over the last five whole minutes."""
+    end = int(now // SLOT_S) * SLOT_S
+    counts = sum_slots(_within(slots, FIVE_MINUTES, end)).all_by_region
+    total = counts.total()
+    return {region: count / total for region, count in sorted(counts.items())} if total else {}
+
+
 def _within(slots: Sequence[Slot], window: Window, end: int) -> list[Slot]:
     return [slot for slot in slots if end - window.seconds <= slot.start < end]
 
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -12,7 +12,7 @@
 from briarspur.plots import Point, value_plot
 from briarspur.printing import to_json
 from briarspur.repository import PolicyRepository
-from briarspur.windows import SLOT_S, Severity
+from briarspur.windows import SLOT_S, Severity, split_now
 from tests.examples import small_policy
 from tests.fakes import FakeStore, at_once
 from tests.test_porcelain import FakeEntries
@@ -63,6 +63,8 @@
         self.assertIn("missing: <b>e2: no answer (7 min)", text)
         self.assertIn("p99 20", text)
         json.loads(to_json(report))
+        series = await self.history.read("times", self.now)
+        self.assertEqual(split_now(series.slots, self.now), {"north": 0.9, "south": 0.1})
 
     async def test_the_page_stands_alone_and_is_escaped(self) -> None:
         await self.minute(good=5, bad=0)
