A console of forms that make one checked document

Drafts travel in the form itself, so the console keeps no state: restarting it, or asking another one, goes on with the draft. The whole document and its difference are shown before it is accepted; each fault stands at its field, with what was typed; a racing edit shows both edits and a choice for each clash. Loopback unless set, a form tied to its session, one host name on loopback, bounded bodies, escaped output, operators' tokens from a file compared in constant time, each accepted change logged with who and what.

--- a/briarspur/burnreport.py
+++ b/briarspur/burnreport.py
@@ -100,7 +100,7 @@
 
 def report_html(report: BurnReport) -> str:
     """Return the report as one page with its plots inside, without scripts or outside links."""
-    plotted = [(service, _plots_of(service)) for service in report.services]
+    plotted = [(service, plots_of(service)) for service in report.services]
     return pages.render("burn.html", report=report, plotted=plotted, rule_text=rule_text)
 
 
@@ -192,7 +192,8 @@
     ]
 
 
-def _plots_of(service: ServiceReport) -> dict[str, str]:
+def plots_of(service: ServiceReport) -> dict[str, str]:
+    """Return the SVG plots of a service by name."""
     thresholds = [Threshold(rule.rate, f"{rule.rate:g}") for rule in ALERT_RULES]
     latency = Threshold(service.burn.objective.latency * 1000, "objective")
     in_ms = [
--- a/briarspur/change.py
+++ b/briarspur/change.py
@@ -7,7 +7,7 @@
 
 import copy
 import json
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence, Set
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -22,6 +22,7 @@
     "compare",
     "difference",
     "format_changes",
+    "resolve",
 ]
 
 Path = tuple[str | int, ...]
@@ -127,6 +128,38 @@
     return result
 
 
+def resolve(
+    comparison: Comparison, mine: dict[str, Any], theirs: dict[str, Any], keep_mine: Set[int]
+) -> dict[str, Any]:
+    """Return their document with my edits on top, and each conflict decided.
+
+    Parameters
+    ----------
+    keep_mine : set of int
+        Indices into ``comparison.conflicts`` at which my edit is kept; theirs is kept elsewhere.
+    """
+    clashing = {conflict.mine.path for conflict in comparison.conflicts}
+    result = apply_changes(theirs, [c for c in comparison.mine if c.path not in clashing])
+    for index in sorted(keep_mine):
+        conflict = comparison.conflicts[index]
+        # Where one edit replaced a whole object, a part of it has no place of its own.
+        path = min(conflict.mine.path, conflict.theirs.path, key=len)
+        result = apply_changes(result, [Change(path, MISSING, _value_at(mine, path))])
+    return result
+
+
+def _value_at(document: Any, path: Path) -> Any:
+    value = document
+    for part in path:
+        if isinstance(value, Mapping):
+            value = value.get(part, MISSING)
+        elif isinstance(value, list) and isinstance(part, int) and part < len(value):
+            value = value[part]
+        else:
+            return MISSING
+    return value
+
+
 def format_changes(changes: Sequence[Change]) -> str:
     """Return one line for each change: ``+`` added, ``-`` removed, ``~`` another value."""
     return "\n".join(str(change) for change in changes)
--- /dev/null
+++ b/briarspur/console.py
@@ -0,0 +1,78 @@
+"""The program ``briarspur-console``: operators' forms that make one checked document."""
+
+import sys
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from briarspur import daemon
+from briarspur.clicontext import VmDirectory
+from briarspur.consolepages import Console
+from briarspur.consoleweb import ConsoleSite
+from briarspur.errors import SettingsError
+from briarspur.exits import ExitCode
+from briarspur.fetch import HttpFetcher
+from briarspur.levelhistory import LevelHistory
+from briarspur.objects import HttpObjectStore, VmList
+from briarspur.operators import FormGuard, OperatorTokens
+from briarspur.repository import PolicyRepository
+from briarspur.serviceview import ServiceView
+from briarspur.settings import ConsoleSettings
+
+__all__ = ["ConsoleDaemon", "main"]
+
+BACKLOG = 50
+
+
+class ConsoleDaemon:
+    """Listens for operators' browsers; loopback unless the settings say otherwise."""
+
+    def __init__(self, settings: ConsoleSettings) -> None:
+        from twisted.internet import reactor
+
+        self._settings = settings
+        self._reactor: Any = reactor
+        self._store = HttpObjectStore(settings.platform)
+        self._vms = VmList(settings.platform)
+        self._port: Any = None
+
+    async def start(self) -> None:
+        """Listen."""
+        settings = self._settings
+        repository = PolicyRepository(self._store)
+        view = ServiceView(
+            repository,
+            LevelHistory(self._store),
+            VmDirectory(self._vms),
+            HttpFetcher(self._reactor, settings.platform.timeout_s),
+            time.time,
+        )
+        guard = FormGuard()
+        console = Console(repository, view, OperatorTokens(settings.token_file), guard)
+        site = ConsoleSite(console, guard, settings.host, settings.form_bytes)
+        self._port = self._reactor.listenTCP(settings.port, site, BACKLOG, settings.host)
+
+    @property
+    def port(self) -> int:
+        """The port it listens on."""
+        return int(self._port.getHost().port)
+
+    async def stop(self) -> None:
+        """Take no new connections; operators' drafts are in their browsers."""
+        if self._port is not None:
+            self._port.stopListening()
+        await self._store.close()
+        await self._vms.close()
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the console; return its exit code."""
+    try:
+        return daemon.run("briarspur-console", ConsoleSettings, ConsoleDaemon, argv)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.INVALID
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -7,7 +7,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from briarspur.change import MISSING, Change, apply_changes, compare, difference, format_changes
+from briarspur.change import (
+    MISSING,
+    Change,
+    apply_changes,
+    compare,
+    difference,
+    format_changes,
+    resolve,
+)
 from tests.examples import small_policy
 
 KEYS = st.sampled_from(["a", "b", "c"])
@@ -16,6 +24,12 @@
 DOCUMENTS = st.dictionaries(KEYS, VALUES, max_size=3)
 
 
+def at(document: Any, path: tuple[Any, ...]) -> Any:
+    for part in path:
+        document = document.get(part, MISSING) if isinstance(document, dict) else MISSING
+    return document
+
+
 class DifferenceTest(unittest.TestCase):
     """Changes name the path, what was there and what is there now."""
 
@@ -62,6 +76,22 @@
     def test_the_same_edit_twice_is_no_conflict(self) -> None:
         self.assertEqual(compare({"a": 1}, {"a": 2}, {"a": 2}).merged, {"a": 2})
 
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(DOCUMENTS, DOCUMENTS, DOCUMENTS)
+    def test_a_resolution_keeps_what_was_chosen(
+        self, base: dict[str, Any], mine: dict[str, Any], theirs: dict[str, Any]
+    ) -> None:
+        comparison = compare(base, mine, theirs)
+        every = set(range(len(comparison.conflicts)))
+        kept_mine = resolve(comparison, mine, theirs, every)
+        for conflict in comparison.conflicts:
+            self.assertEqual(at(kept_mine, conflict.mine.path), conflict.mine.after)
+        kept_theirs = resolve(comparison, mine, theirs, set())
+        for conflict in comparison.conflicts:
+            self.assertEqual(at(kept_theirs, conflict.theirs.path), conflict.theirs.after)
+        if not comparison.conflicts:
+            self.assertEqual(kept_theirs, comparison.merged)
+
     @settings(derandomize=True, deadline=None, database=None)
     @given(DOCUMENTS, DOCUMENTS, DOCUMENTS)
     def test_no_edit_is_lost(
@@ -72,7 +102,4 @@
             self.assertTrue(comparison.conflicts)
             return
         for change in (*comparison.mine, *comparison.theirs):
-            value: Any = comparison.merged
-            for part in change.path:
-                value = value.get(part, MISSING) if isinstance(value, dict) else MISSING
-            self.assertEqual(value, change.after)
+            self.assertEqual(at(comparison.merged, change.path), change.after)
--- /dev/null
+++ b/tests/test_consolepages.py
@@ -0,0 +1,210 @@
+"""Tests of the console's pages over fakes."""
+
+import html
+import json
+import re
+import tempfile
+import unittest
+
+from briarspur import porcelain
+from briarspur.consolepages import Asked, Console, Page
+from briarspur.coord.store import ABSENT
+from briarspur.errors import SettingsError
+from briarspur.levelhistory import LevelHistory
+from briarspur.operators import FormGuard, OperatorTokens
+from briarspur.repository import PolicyRepository
+from briarspur.serviceview import ServiceView
+from tests.examples import small_policy
+from tests.fakes import FakeStore, at_once
+from tests.test_porcelain import FakeEntries, parsed, sign
+
+TOKEN = "0123456789abcdef"
+SESSION = "a-session"
+
+
+class ConsoleTest(unittest.IsolatedAsyncioTestCase):
+    """An operator's work by forms, and what is refused."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = FakeStore()
+        self.repository = PolicyRepository(self.store, at_once)
+        await porcelain.apply(self.repository, parsed(small_policy()), ABSENT, sign("t1"))
+        entries = FakeEntries(["e1"])
+        history = LevelHistory(self.store)
+        view = ServiceView(self.repository, history, entries, entries, lambda: 1_000_000.0)
+        self.token_file = self.enterContext(tempfile.NamedTemporaryFile("w+"))
+        self.token_file.write(f"ana {TOKEN}\n")
+        self.token_file.flush()
+        self.guard = FormGuard()
+        tokens = OperatorTokens(self.token_file.name)
+        self.console = Console(self.repository, view, tokens, self.guard)
+
+    async def get(self, path: str) -> Page:
+        return await self.console.answer(Asked("GET", path, SESSION))
+
+    async def post(self, path: str, **fields: str) -> Page:
+        named = {name.replace("__", "."): value for name, value in fields.items()}
+        named.setdefault("guard", self.guard.field_for(SESSION))
+        return await self.console.answer(Asked("POST", path, SESSION, named))
+
+    def hidden(self, page: Page, name: str) -> str:
+        found = re.search(rf'name="{name}" value="([^"]*)"', page.html)
+        assert found is not None, page.html
+        return html.unescape(found[1])
+
+    async def reviewed(self, **fields: str) -> Page:
+        form = await self.get("/edit")
+        document, base = self.hidden(form, "document"), self.hidden(form, "base")
+        return await self.post("/edit", document=document, base=base, action="review", **fields)
+
+    async def accept(self, review: Page, token: str = TOKEN) -> Page:
+        return await self.post(
+            "/accept",
+            document=self.hidden(review, "document"),
+            base=self.hidden(review, "base"),
+            note="why not",
+            token=token,
+        )
+
+    async def in_force(self) -> int:
+        current = await self.repository.current()
+        assert current is not None
+        return current.document.services["times"].objective.latency_ms
+
+    async def test_a_change_is_reviewed_then_accepted_and_logged(self) -> None:
+        review = await self.reviewed(services__times__objective__latency_ms="400")
+        self.assertIn("~ services.times.objective.latency_ms: 500 -&gt; 400", review.html)
+        self.assertIn("&#34;user&#34;: &#34;example&#34;", review.html)
+        self.assertEqual(await self.in_force(), 500)
+        with self.assertLogs("briarspur") as logged:
+            accepted = await self.accept(review)
+        self.assertEqual((accepted.status, await self.in_force()), (200, 400))
+        record = logged.records[-1]
+        self.assertEqual(
+            (record.getMessage(), vars(record)["operator"]), ("change-accepted", "ana")
+        )
+        self.assertIn("latency_ms: 500 -> 400", vars(record)["changes"])
+        self.assertNotIn(TOKEN, str(vars(record)))
+
+    async def test_each_fault_is_shown_at_its_field(self) -> None:
+        page = await self.reviewed(
+            services__times__objective__latency_ms="soon",
+            services__booking__rules__0__deadline_ms="1",
+        )
+        self.assertEqual(page.status, 422)
+        for name in ("services.times.objective.latency_ms", "services.booking.rules.0.deadline_ms"):
+            field = rf'"faulty">[^<]*<input name="{re.escape(name)}"[^>]*>\s*<span class="fault">'
+            self.assertRegex(page.html, field)
+        self.assertIn('value="soon"', page.html)
+        self.assertEqual(await self.in_force(), 500)
+
+    async def test_a_racing_edit_shows_both_and_loses_nothing(self) -> None:
+        # Two operators open the form on one version. The other accepts first. This one must see
+        # both edits, choose where they clash, and end with everything else of both.
+        review = await self.reviewed(
+            services__times__objective__latency_ms="400",
+            services__booking__objective__latency_ms="450",
+        )
+        theirs = small_policy()
+        theirs["services"]["times"]["objective"] = {"latency_ms": 300}
+        theirs["caps"]["return"]["requests_per_window"] = 7
+        await porcelain.apply(self.repository, parsed(theirs), 1, sign("theirs"))
+        conflict = await self.accept(review)
+        self.assertEqual(conflict.status, 409)
+        for text in ("500 -&gt; 400", "500 -&gt; 300", "10 -&gt; 7", "500 -&gt; 450"):
+            self.assertIn(text, conflict.html)
+        resolved = await self.post(
+            "/resolve",
+            document=self.hidden(conflict, "document"),
+            base=self.hidden(conflict, "base"),
+            keep__services__times__objective__latency_ms="mine",
+        )
+        self.assertEqual((await self.accept(resolved)).status, 200)
+        current = await self.repository.current()
+        assert current is not None
+        services = current.document.services
+        self.assertEqual(services["times"].objective.latency_ms, 400)
+        self.assertEqual(services["booking"].objective.latency_ms, 450)
+        caps = {kind.value: cap.requests_per_window for kind, cap in current.document.caps.items()}
+        self.assertEqual(caps["return"], 7)
+
+    async def test_a_wrong_token_changes_nothing_and_keeps_the_draft(self) -> None:
+        review = await self.reviewed(services__times__objective__latency_ms="400")
+        refused = await self.accept(review, token="wrong")
+        self.assertEqual((refused.status, await self.in_force()), (403, 500))
+        self.assertEqual((await self.accept(refused)).status, 200)
+
+    async def test_a_form_of_another_session_changes_nothing(self) -> None:
+        # An operator with a session here opens a foreign page, which sends a form to /accept.
+        review = await self.reviewed(services__times__objective__latency_ms="400")
+        for guard in ("", "x", self.guard.field_for("another"), "\u20ac"):
+            page = await self.post(
+                "/accept",
+                document=self.hidden(review, "document"),
+                base="1",
+                token=TOKEN,
+                guard=guard,
+            )
+            self.assertEqual((page.status, await self.in_force()), (403, 500))
+
+    async def test_everything_typed_is_escaped(self) -> None:
+        evil = "<script>alert(1)</script>"
+        pages = [
+            await self.reviewed(services__times__path=evil),
+            await self.post(
+                "/edit", document=json.dumps({"user": evil}), base="1", action="review"
+            ),
+            await self.post("/edit", document=json.dumps({"services": {evil: {}}}), base="1"),
+            await self.post("/edit", action="add:services", new__services=evil),
+            await self.get(f"/services/{evil}"),
+        ]
+        for page in pages:
+            self.assertNotIn(evil, page.html)
+
+    async def test_drain_and_rollback_go_through_the_review(self) -> None:
+        review = await self.post("/edit", action="state:times-north-1:leaving")
+        self.assertIn("targets.times-north-1.state", review.html)
+        self.assertEqual((await self.accept(review)).status, 200)
+        self.assertIn("not known everywhere", (await self.get("/drains")).html)
+        back = await self.post("/edit", action="rollback:1")
+        self.assertEqual((await self.accept(back)).status, 200)
+        self.assertEqual(len(await self.repository.history(10)), 3)
+
+    async def test_every_page_shows_without_entries_levels_or_policy(self) -> None:
+        paths = ("/", "/edit", "/status", "/drains", "/history", "/services/times")
+        for path in paths:
+            self.assertEqual((await self.get(path)).status, 200, path)
+        self.store.down = True
+        for path in paths:
+            self.assertEqual((await self.get(path)).status, 503, path)
+        self.store.down = False
+        self.store.objects.clear()
+        for path in paths[:-1]:
+            self.assertEqual((await self.get(path)).status, 200, path)
+
+    async def test_a_malformed_draft_is_answered(self) -> None:
+        shapes = ("{", "[]", "{}", '{"services": []}', '{"services": {"a": {"rules": [1]}}}')
+        for document, base in ((shape, base) for shape in shapes for base in ("1", "x", "²")):
+            for path in ("/edit", "/accept", "/resolve"):
+                page = await self.post(path, document=document, base=base, token=TOKEN)
+                self.assertIn(page.status, (200, 422), (path, document, base))
+        self.assertEqual(await self.in_force(), 500)
+
+
+class TokensTest(unittest.TestCase):
+    """The file of tokens."""
+
+    def test_names_single_tokens_and_short_ones(self) -> None:
+        with tempfile.NamedTemporaryFile("w+") as file:
+            file.write(f"{TOKEN}\n")
+            file.flush()
+            tokens = OperatorTokens(file.name)
+            self.assertEqual(tokens.name_of(TOKEN), "operator")
+            self.assertIsNone(tokens.name_of(TOKEN + "x"))
+            self.assertIsNone(tokens.name_of(""))
+            file.write("bo short\n")
+            file.flush()
+            with self.assertRaises(SettingsError):
+                OperatorTokens(file.name)
+        with self.assertRaises(SettingsError):
+            OperatorTokens("/nowhere")
--- /dev/null
+++ b/tests/test_forms.py
@@ -0,0 +1,99 @@
+"""Tests of drafts: fields, additions and the place of each fault."""
+
+import json
+import unittest
+from typing import Any
+
+from briarspur.edits import add, move_rule_up, remove
+from briarspur.forms import SECTIONS, Section, apply_fields, fields_of, located
+from briarspur.policy import parse_policy
+from briarspur.porcelain import as_json, check
+from tests.examples import small_policy
+
+
+def draft() -> dict[str, Any]:
+    return as_json(parse_policy(json.dumps(small_policy())))
+
+
+def fault_paths(document: dict[str, Any]) -> list[str]:
+    return [fault.path for fault in located(check(json.dumps(document)).faults)]
+
+
+class FormsTest(unittest.TestCase):
+    """What is typed is kept, read where it can be, and refused at its field where not."""
+
+    def test_a_form_sent_back_untouched_changes_nothing(self) -> None:
+        for section in SECTIONS:
+            groups = fields_of(draft(), section)
+            typed = {f.path: f.text for fields in groups.values() for f in fields}
+            self.assertEqual(apply_fields(draft(), typed), draft())
+
+    def test_typed_values_are_read_by_kind(self) -> None:
+        typed = {
+            "services.times.rules.0.methods": "GET, POST",
+            "services.times.rules.0.deadline_ms": " 900 ",
+            "regions.north.link_small_share": "0.5",
+            "targets.times-north-1.state": "leaving",
+            "blocks.by_prefix": "10.2.0.0/16 south\r\n10.3.0.0/16 north\r\n",
+        }
+        changed = apply_fields(draft(), typed)
+        rule = changed["services"]["times"]["rules"][0]
+        self.assertEqual((rule["methods"], rule["deadline_ms"]), (["GET", "POST"], 900))
+        self.assertEqual(len(changed["blocks"]["by_prefix"]), 2)
+        self.assertEqual(fault_paths(changed), [])
+
+    def test_each_fault_is_at_its_field_and_what_was_typed_is_kept(self) -> None:
+        typed = {
+            "services.times.rules.0.deadline_ms": "soon",
+            "regions.north.in_flight_limit": "-3",
+            "blocks.by_prefix": "10.2.0.0/16",
+        }
+        changed = apply_fields(draft(), typed)
+        expected = [
+            "regions.north.in_flight_limit",
+            "services.times.rules.0.deadline_ms",
+            "blocks.by_prefix",
+        ]
+        self.assertEqual(fault_paths(changed), expected)
+        texts = {
+            f.path: f.text for f in fields_of(changed, Section.SERVICES)["services.times.rules.0"]
+        }
+        self.assertEqual(texts["services.times.rules.0.deadline_ms"], "soon")
+
+    def test_a_fault_of_the_whole_is_put_at_the_field_it_names(self) -> None:
+        changed = apply_fields(draft(), {"targets.times-north-1.zone": "nowhere"})
+        self.assertEqual(fault_paths(changed), ["targets.times-north-1.zone"])
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        self.assertEqual(apply_fields(draft(), {"user": "x", "a.b": "c"}), draft())
+
+
+class EditsTest(unittest.TestCase):
+    """Adding and removing."""
+
+    def test_objects_and_rules_come_and_go(self) -> None:
+        changed = add(draft(), "services", "fares").ok
+        changed = add(changed, "services.fares.rules", "").ok
+        changed["services"]["fares"]["rules"][1]["path"] = "/x"
+        changed = move_rule_up(changed, "services.fares.rules.1").ok
+        self.assertEqual(changed["services"]["fares"]["rules"][0]["path"], "/x")
+        self.assertEqual(fault_paths(changed), [])
+        changed = remove(changed, "services.fares.rules.0").ok
+        self.assertEqual(len(changed["services"]["fares"]["rules"]), 1)
+        self.assertEqual(remove(changed, "services.fares").ok, draft())
+        for root in ("regions", "targets", "entries"):
+            self.assertIn("new-1", add(draft(), root, "new-1").ok[root])
+
+    def test_what_makes_no_sense_is_refused(self) -> None:
+        for root, name in (
+            ("services", "times"),
+            ("services", "a.b"),
+            ("services", ""),
+            ("user", "x"),
+            ("services.nowhere.rules", ""),
+        ):
+            with self.subTest(root=root, name=name):
+                self.assertTrue(add(draft(), root, name).is_error())
+        for path in ("services.x", "user", "services.times.rules.7", "services.times.rules.x"):
+            self.assertTrue(remove(draft(), path).is_error())
+        self.assertTrue(move_rule_up(draft(), "services.times.rules.0").is_error())
