--- a/briarspur/consolepages.py
+++ b/briarspur/consolepages.py
@@ -288,6 +288,10 @@
         """Put the author's edit on top of what is in force, each conflict as it was chosen."""
         mine = parse_draft(asked.get("document"))
         editing = await self._in_force()
+        if asked.get("theirs") != str(editing.base):
+            # Guards against a third edit since the choices were shown: where it clashes nobody
+            # has chosen, and taking theirs there would lose this author's edit unseen.
+            return await self._conflict_now(asked, mine)
         comparison = await self._comparison(asked, mine, editing.draft)
         keep = {
             index
@@ -297,6 +301,15 @@
         merged = resolve(comparison, mine, editing.draft, keep)
         return await self._review(asked, _Editing(merged, editing.base))
 
+    async def _conflict_now(self, asked: Asked, mine: Draft) -> Page:
+        """Show the conflict of a draft with what is in force now."""
+        document = parse_policy(json.dumps(mine), "draft")
+        expected = int(asked.get("base")) if asked.get("base").isdecimal() else ABSENT
+        current = await self._repository.current()
+        theirs = porcelain.as_json(current.document) if current else {}
+        comparison = await self._comparison(asked, mine, theirs)
+        return self._conflict(asked, document, Race(expected, current, comparison))
+
     async def _comparison(self, asked: Asked, mine: Draft, theirs: Draft) -> Comparison:
         version = asked.get("base")
         base = await self._repository.revision(int(version)) if version.isdecimal() else None
--- a/briarspur/consoleweb.py
+++ b/briarspur/consoleweb.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from http import HTTPStatus
 from importlib.resources import files
 from typing import Any
 
@@ -78,13 +79,17 @@
         if not self._site.is_allowed_host(self._web.getRequestHostname()):
             # Guards against a foreign name that was pointed at this address: its pages would be
             # of the same origin as ours and could read them.
-            self._answer(Page(421, "This console does not answer to that name."))
+            self._answer(
+                Page(HTTPStatus.MISDIRECTED_REQUEST, "This console does not answer to that name.")
+            )
         elif self.path == b"/style.css" and self.method == b"GET":
             self._web.setHeader(b"Content-Type", b"text/css; charset=utf-8")
             self._web.write(self._site.style)
             self._web.finish()
+        elif self.path == b"/favicon.ico":
+            self._answer(Page(HTTPStatus.NO_CONTENT, ""))
         elif self.method == b"POST" and not self._is_form():
-            self._answer(Page(415, "Only forms are taken."))
+            self._answer(Page(HTTPStatus.UNSUPPORTED_MEDIA_TYPE, "Only forms are taken."))
         else:
             self._begin()
 
@@ -130,13 +135,15 @@
         if self._disconnected or self.finished:
             return
         if task.cancelled() or error is not None:
-            self._answer(Page(500, "A fault of the console; see its log."))
+            self._answer(
+                Page(HTTPStatus.INTERNAL_SERVER_ERROR, "A fault of the console; see its log.")
+            )
         else:
             self._answer(task.result())
 
     def _answer(self, page: Page) -> None:
         body = page.html.encode("utf-8", "replace")
-        self._web.setResponseCode(page.status)
+        self._web.setResponseCode(page.status, HTTPStatus(page.status).phrase.encode())
         self._web.setHeader(b"Content-Type", b"text/html; charset=utf-8")
         self._web.setHeader(b"Content-Length", str(len(body)).encode())
         self._web.write(body)
--- a/tests/test_consolepages.py
+++ b/tests/test_consolepages.py
@@ -66,6 +66,11 @@
             token=token,
         )
 
+    async def resolve(self, conflict: Page) -> Page:
+        hidden = {name: self.hidden(conflict, name) for name in ("document", "base", "theirs")}
+        path = "keep__services__times__objective__latency_ms"
+        return await self.post("/resolve", **hidden, **{path: "mine"})
+
     async def in_force(self) -> int:
         current = await self.repository.current()
         assert current is not None
@@ -113,12 +118,7 @@
         self.assertEqual(conflict.status, 409)
         for text in ("500 -&gt; 400", "500 -&gt; 300", "10 -&gt; 7", "500 -&gt; 450"):
             self.assertIn(text, conflict.html)
-        resolved = await self.post(
-            "/resolve",
-            document=self.hidden(conflict, "document"),
-            base=self.hidden(conflict, "base"),
-            keep__services__times__objective__latency_ms="mine",
-        )
+        resolved = await self.resolve(conflict)
         self.assertEqual((await self.accept(resolved)).status, 200)
         current = await self.repository.current()
         assert current is not None
@@ -128,6 +128,23 @@
         caps = {kind.value: cap.requests_per_window for kind, cap in current.document.caps.items()}
         self.assertEqual(caps["return"], 7)
 
+    async def test_a_third_edit_while_choosing_is_shown_too(self) -> None:
+        # While an operator looks at a conflict, a third one edits what this one edited as well.
+        # Nobody has chosen there yet: going on would drop this operator's edit unseen.
+        review = await self.reviewed(services__booking__objective__latency_ms="450")
+        theirs = small_policy()
+        theirs["caps"]["return"]["requests_per_window"] = 7
+        accepted = await porcelain.apply(self.repository, parsed(theirs), 1, sign("theirs"))
+        conflict = await self.accept(review)
+        theirs["services"]["booking"]["objective"] = {"latency_ms": 300}
+        version = accepted.ok.revision.version
+        await porcelain.apply(self.repository, parsed(theirs), version, sign("third"))
+        again = await self.resolve(conflict)
+        self.assertEqual(again.status, 409)
+        self.assertIn("500 -&gt; 300", again.html)
+        self.assertIn("500 -&gt; 450", again.html)
+        self.assertEqual((await self.resolve(again)).status, 200)
+
     async def test_a_wrong_token_changes_nothing_and_keeps_the_draft(self) -> None:
         review = await self.reviewed(services__times__objective__latency_ms="400")
         refused = await self.accept(review, token="wrong")
