--- a/briarspur/collect.py
+++ b/briarspur/collect.py
@@ -9,12 +9,13 @@
 from dataclasses import dataclass, field
 
 from briarspur.latency import Histogram, decode, merge, new_histogram, subtract
-from briarspur.levels import LevelsDocument, ServiceLevelDocument
+from briarspur.levels import Count, LevelsDocument, ServiceLevelDocument
 from briarspur.windows import SLOT_S, Slot
 
 __all__ = ["Collector", "Counted"]
 
-EMPTY = ServiceLevelDocument(counts=[])
+EMPTY = ServiceLevelDocument(counts={})
+NONE = Count(0, 0)
 NEW_PROCESS_MARGIN = 1.5
 
 
@@ -123,26 +124,34 @@
     entry_id: str, start: int, later: ServiceLevelDocument, earlier: ServiceLevelDocument
 ) -> Slot:
     """Return what was counted between two documents of one incarnation."""
-    before = {(count.region, count.code): count for count in earlier.counts}
-    if before.keys() - {(count.region, count.code) for count in later.counts}:
-        raise ValueError("its counts fell without a restart")
     slot = Slot(start)
-    for count in later.counts:
-        last = before.get((count.region, count.code))
-        good = count.good - (last.good if last else 0)
-        bad = count.bad - (last.bad if last else 0)
-        if good < 0 or bad < 0:
-            raise ValueError("its counts fell without a restart")
-        slot.good += good
-        slot.bad += bad
-        slot.all_by_region[count.region] += good + bad
-        if bad:
-            slot.bad_by_region[count.region] += bad
-            slot.bad_by_code[count.code] += bad
-            slot.bad_by_entry[entry_id] += bad
+    for region, code in _keys(earlier) - _keys(later):
+        raise ValueError(f"its counts of {code} from {region} are gone without a restart")
+    for region, counts in later.counts.items():
+        for code, count in counts.items():
+            last = earlier.counts.get(region, {}).get(code, NONE)
+            good = count.good - last.good
+            bad = count.bad - last.bad
+            if good < 0 or bad < 0:
+                raise ValueError("its counts fell without a restart")
+            _count(slot, entry_id, region, code, Count(good, bad))
     return slot
 
 
+def _keys(document: ServiceLevelDocument) -> set[tuple[str, int]]:
+    return {(region, code) for region, counts in document.counts.items() for code in counts}
+
+
+def _count(slot: Slot, entry_id: str, region: str, code: int, count: Count) -> None:
+    slot.good += count.good
+    slot.bad += count.bad
+    slot.all_by_region[region] += count.good + count.bad
+    if count.bad:
+        slot.bad_by_region[region] += count.bad
+        slot.bad_by_code[code] += count.bad
+        slot.bad_by_entry[entry_id] += count.bad
+
+
 def _merge_into(total: Slot, part: Slot) -> None:
     total.good += part.good
     total.bad += part.bad
--- a/briarspur/levels.py
+++ b/briarspur/levels.py
@@ -10,16 +10,16 @@
 """
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, NonNegativeInt
 
 from briarspur.codes import Code
 from briarspur.latency import HIGHEST_US, US_PER_S, Histogram, encode, new_histogram
 
 __all__ = [
     "LEVELS_PATH",
-    "CountDocument",
+    "Count",
     "Levels",
     "LevelsDocument",
     "ServiceLevelDocument",
@@ -39,19 +39,17 @@
     model_config = ConfigDict(extra="ignore", frozen=True)
 
 
-class CountDocument(_Report):
-    """Answers with one code from one region since the incarnation's start."""
+class Count(NamedTuple):
+    """Good and bad answers since the incarnation's start; a pair in JSON."""
 
-    region: str
-    code: int
-    good: int = Field(ge=0)
-    bad: int = Field(ge=0)
+    good: NonNegativeInt
+    bad: NonNegativeInt
 
 
 class ServiceLevelDocument(_Report):
-    """One service's counts, and the latencies of its whole answers as an encoded histogram."""
+    """One service: counts by region and code, and an encoded histogram of whole answers."""
 
-    counts: list[CountDocument]
+    counts: dict[str, dict[int, Count]]
     latency: str = ""
 
 
@@ -121,12 +119,12 @@
     def snapshot(self, now: float) -> dict[str, Any]:
         """Return the JSON values of a :class:`LevelsDocument`."""
         services: dict[str, dict[str, Any]] = {
-            service: {"counts": [], "latency": encode(histogram)}
+            service: {"counts": {}, "latency": encode(histogram)}
             for service, histogram in self._latency_by_service.items()
         }
         for (service, region, code), (good, bad) in self._counts.items():
-            count = {"region": region, "code": code, "good": good, "bad": bad}
-            services[service]["counts"].append(count)
+            counts_by_code = services[service]["counts"].setdefault(region, {})
+            counts_by_code[str(int(code))] = [good, bad]
         return {
             "entry_id": self._entry_id,
             "incarnation": self._incarnation,
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -31,8 +31,7 @@
         levels.record("times", "north", Code.BODY_TOO_LARGE, 0.0)
         levels.record("nowhere", "north", Code.ANSWERED, 0.0)
         service = report(levels, 1.0).services["times"]
-        counts = {(c.region, c.code): (c.good, c.bad) for c in service.counts}
-        self.assertEqual(counts, {("north", 1000): (1, 1), ("south", 2101): (0, 1)})
+        self.assertEqual(service.counts, {"north": {1000: (1, 1)}, "south": {2101: (0, 1)}})
         self.assertEqual(decode(service.latency).get_total_count(), 2)
 
     def test_histograms_are_merged_and_subtracted(self) -> None:
