--- a/briarspur/consolepages.py
+++ b/briarspur/consolepages.py
@@ -18,6 +18,7 @@
     Draft,
     Section,
     apply_fields,
+    choose_groups,
     fields_of,
     located,
     parse_draft,
@@ -34,6 +35,7 @@
 __all__ = ["Asked", "Console", "Page"]
 
 HISTORY_SHOWN = 50
+GROUPS_SHOWN = 100
 
 OK = 200
 FORBIDDEN = 403
@@ -204,6 +206,8 @@
         messages_by_path: dict[str, list[str]] = {}
         for fault in found:
             messages_by_path.setdefault(fault.path, []).append(fault.message)
+        groups = fields_of(editing.draft, editing.section)
+        shown = choose_groups(groups, messages_by_path, asked.get("find"), GROUPS_SHOWN)
         return self._render(
             asked,
             UNPROCESSABLE if found else OK,
@@ -211,7 +215,9 @@
             editing=editing,
             document=json.dumps(editing.draft),
             sections=SECTIONS,
-            groups=fields_of(editing.draft, editing.section),
+            groups=shown,
+            groups_in_all=len(groups),
+            find=asked.get("find"),
             faults=found,
             section_of=section_of,
             messages_by_path=messages_by_path,
--- a/briarspur/forms.py
+++ b/briarspur/forms.py
@@ -23,6 +23,7 @@
     "FieldKind",
     "Section",
     "apply_fields",
+    "choose_groups",
     "fields_of",
     "located",
     "parse_draft",
@@ -200,6 +201,28 @@
     return {f"{root}.{name}": _fields(draft, f"{root}.{name}", specs) for name in names}
 
 
+def choose_groups(
+    groups: Mapping[str, list[Field]], paths: Iterable[str], find: str, limit: int
+) -> dict[str, list[Field]]:
+    """Return at most ``limit`` groups: those with a path of ``paths`` first, then those found.
+
+    Parameters
+    ----------
+    paths : iterable of str
+        Where faults are; a fault must not be hidden by the limit or the search.
+    find : str
+        Part of the path or of a field's text; empty finds all.
+    """
+    faulty = {name for name in groups for path in paths if f"{path}.".startswith(f"{name}.")}
+    found = [
+        name
+        for name, fields in groups.items()
+        if name in faulty or find in name or any(find in field.text for field in fields)
+    ]
+    found.sort(key=lambda name: name not in faulty)
+    return {name: groups[name] for name in found[:limit]}
+
+
 def apply_fields(draft: Draft, typed: Mapping[str, str]) -> Draft:
     """Return the draft with each typed field in its place; unknown fields are ignored."""
     result = copy.deepcopy(draft)
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from briarspur.edits import add, move_rule_up, remove
-from briarspur.forms import SECTIONS, Section, apply_fields, fields_of, located
+from briarspur.forms import SECTIONS, Section, apply_fields, choose_groups, fields_of, located
 from briarspur.policy import parse_policy
 from briarspur.porcelain import as_json, check
 from tests.examples import small_policy
@@ -64,6 +64,14 @@
         changed = apply_fields(draft(), {"targets.times-north-1.zone": "nowhere"})
         self.assertEqual(fault_paths(changed), ["targets.times-north-1.zone"])
 
+    def test_a_large_section_is_shown_in_part_and_its_faults_always(self) -> None:
+        groups = fields_of(draft(), Section.TARGETS)
+        faulty = ["targets.times-south-2.port"]
+        shown = choose_groups(groups, faulty, "booking", 3)
+        self.assertEqual(next(iter(shown)), "targets.times-south-2")
+        self.assertEqual(len(shown), 3)
+        self.assertEqual(list(choose_groups(groups, [], "9111", 9)), ["targets.booking-south-2"])
+
     def test_unknown_fields_are_ignored(self) -> None:
         self.assertEqual(apply_fields(draft(), {"user": "x", "a.b": "c"}), draft())
 
--- /dev/null
+++ b/tests/test_operators_story.py
@@ -0,0 +1,123 @@
+"""The operators' programs as real processes: platform stand-in, console, command line, report."""
+
+import html
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+import urllib.error
+import urllib.parse
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+from tests.examples import small_policy
+
+ROOT = Path(__file__).resolve().parent.parent
+TOKEN = "0123456789abcdef"
+PATIENCE_S = 30.0
+
+
+class OperatorsStoryTest(unittest.TestCase):
+    """An operator writes a policy by the command line, changes it by form, and rolls it back."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.platform_port, self.console_port = free_port("127.0.0.1"), free_port("127.0.0.1")
+        platform = {"host": "127.0.0.1", "port": self.platform_port}
+        self.cli = self.save("cli.json", {"platform": platform})
+        self.file = self.save("policy.json", small_policy())
+        token_file = self.folder / "token"
+        token_file.write_text(f"ana {TOKEN}\n")
+        console = {"platform": platform, "port": self.console_port, "token_file": str(token_file)}
+        self.start("standins.platform", "--port", str(self.platform_port))
+        self.start("briarspur.console", "--settings", self.save("console.json", console))
+        self.cookie = ""
+
+    def save(self, name: str, document: Any) -> str:
+        path = self.folder / name
+        path.write_text(json.dumps(document))
+        return str(path)
+
+    def start(self, *arguments: str) -> None:
+        log = self.enterContext(open(self.folder / f"{arguments[0]}.log", "w"))
+        process = subprocess.Popen(
+            [sys.executable, "-m", *arguments], cwd=ROOT, env=environment(), stderr=log
+        )
+        self.addCleanup(process.wait, 10)
+        self.addCleanup(process.terminate)
+
+    def briarspur(self, *arguments: str) -> tuple[int, str]:
+        command = [sys.executable, "-m", "briarspur.cli", *arguments, "--settings", self.cli]
+        done = subprocess.run(
+            command, cwd=ROOT, env=environment(), capture_output=True, text=True, check=False
+        )
+        return done.returncode, done.stdout
+
+    def open(self, path: str, **fields: str) -> str:
+        request = urllib.request.Request(f"http://127.0.0.1:{self.console_port}{path}")
+        if self.cookie:
+            request.add_header("Cookie", self.cookie)
+        if fields:
+            request.data = urllib.parse.urlencode(fields).encode()
+        try:
+            answer = urllib.request.urlopen(request, timeout=10)
+        except urllib.error.HTTPError as error:
+            answer = error
+        self.cookie = (answer.headers.get("Set-Cookie") or self.cookie).split(";")[0]
+        return str(answer.read().decode())
+
+    def until(self, path: str) -> str:
+        deadline = time.monotonic() + PATIENCE_S
+        while True:
+            try:
+                page = self.open(path)
+                if "unavailable" not in page:
+                    return page
+            except OSError:
+                pass
+            self.assertLess(time.monotonic(), deadline, "the console did not begin to answer")
+            time.sleep(0.1)
+
+    def hidden(self, page: str) -> dict[str, str]:
+        found = re.findall(r'type="hidden" name="(\w+)" value="([^"]*)"', page)
+        return {name: html.unescape(value) for name, value in found}
+
+    def test_from_file_to_form_to_rollback(self) -> None:
+        self.assertIn("No policy is in force", self.until("/"))
+        self.assertEqual(self.briarspur("apply", self.file)[0], 0)
+        form = self.hidden(self.open("/edit"))
+        typed = {"services.times.objective.latency_ms": "400", "action": "review"}
+        review = self.open("/edit", **form, **typed)
+        self.assertIn("500 -&gt; 400", review)
+        accept = {**self.hidden(review), "note": "tighter", "token": TOKEN}
+        self.assertIn("is accepted", self.open("/accept", **accept))
+        self.assertIn("Conflict", self.open("/accept", **accept))
+        first, second = self.versions()
+        code, text = self.briarspur("rollback", str(second), "--expect-version", str(first))
+        self.assertEqual(code, 0, text)
+        self.assertEqual(len(self.versions()), 3)
+        code, text = self.briarspur("rollback", str(second), "--expect-version", str(first))
+        self.assertEqual(code, 3, text)
+        report = [sys.executable, "-m", "briarspur.burn", "--settings", self.cli, "--once"]
+        done = subprocess.run(report, cwd=ROOT, env=environment(), capture_output=True, text=True)
+        self.assertIn("times: UNKNOWN", done.stdout)
+
+    def versions(self) -> list[int]:
+        _, text = self.briarspur("history", "--json")
+        return [revision["version"] for revision in json.loads(text)]
+
+
+def free_port(host: str) -> int:
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+def environment() -> dict[str, str]:
+    return {**os.environ, "PYTHONPATH": str(ROOT)}
