Keep the newest 1,000 revisions of the policy and delete older ones

The list of kept versions is an object of its own: listing the history would read values of up to a megabyte each. An old revision is deleted before the list is shortened, so a crash leaves no object that nothing lists.

--- a/briarspur/repository.py
+++ b/briarspur/repository.py
@@ -19,6 +19,7 @@
     StoreUnclearError,
 )
 from briarspur.coord.store import ABSENT, ObjectStore
+from briarspur.retention import KEPT_REVISIONS, Retention
 from briarspur.revision import (
     POLICY_NAME,
     Draft,
@@ -58,11 +59,16 @@
         The platform's object API.
     sleep : callable
         Waits some seconds; tests pass one that returns at once.
+    keep : int
+        How many past revisions to keep.
     """
 
-    def __init__(self, store: ObjectStore, sleep: Sleep = asyncio.sleep) -> None:
+    def __init__(
+        self, store: ObjectStore, sleep: Sleep = asyncio.sleep, keep: int = KEPT_REVISIONS
+    ) -> None:
         self._store = store
         self._sleep = sleep
+        self._retention = Retention(store, keep)
 
     async def current(self) -> Revision | None:
         """Return the revision in force as the store reads it, which may be old."""
@@ -103,6 +109,7 @@
         except StoreConflictError as error:
             return Error(Raced(await self._read_at_least(error.current_version)))
         await self._keep(version, value)
+        await self._retention.added({expected_version, version} - {ABSENT})
         return Ok(decode_revision(value, version))
 
     async def _complete_history(self, expected_version: int) -> None:
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -8,7 +8,13 @@
 from briarspur.errors import DocumentError
 from briarspur.policy import parse_policy
 from briarspur.repository import PolicyRepository
-from briarspur.revision import POLICY_NAME, Draft, decode_revision, history_name
+from briarspur.revision import (
+    HISTORY_PREFIX,
+    POLICY_NAME,
+    Draft,
+    decode_revision,
+    history_name,
+)
 from tests.examples import small_policy
 from tests.fakes import FakeStore, at_once
 
@@ -123,6 +129,34 @@
         await self.repository.accept(draft("t2"), version)
         self.assertIn(history_name(version), self.store.objects)
 
+    async def test_the_newest_revisions_are_kept_and_older_ones_deleted(self) -> None:
+        repository = PolicyRepository(self.store, at_once, keep=3)
+        version = ABSENT
+        for number in range(6):
+            version = (await repository.accept(draft(f"t{number}"), version)).ok.version
+        kept = [revision.token for revision in await repository.history(10)]
+        self.assertEqual(kept, ["t5", "t4", "t3"])
+        names = [name for name in self.store.objects if name.startswith(HISTORY_PREFIX)]
+        self.assertEqual(len(names), 3)
+
+    async def test_a_failed_deletion_keeps_more_and_never_less(self) -> None:
+        # The author's program dies, or the store does, while an old revision is deleted.
+        repository = PolicyRepository(self.store, at_once, keep=2)
+        first = (await repository.accept(draft("t0"), ABSENT)).ok.version
+        second = (await repository.accept(draft("t1"), first)).ok.version
+        delete = self.store.delete
+
+        async def fail(name: str, expected_version: int) -> None:
+            await delete(name, expected_version)
+            raise StoreUnavailableError("down")
+
+        self.store.delete = fail  # type: ignore[method-assign]
+        third = (await repository.accept(draft("t2"), second)).ok.version
+        self.store.delete = delete  # type: ignore[method-assign]
+        fourth = (await repository.accept(draft("t3"), third)).ok.version
+        kept = [revision.version for revision in await repository.history(10)]
+        self.assertEqual(kept, [fourth, third])
+
     async def test_a_value_that_is_no_envelope_is_refused(self) -> None:
         await self.store.put(POLICY_NAME, b"{}", ABSENT)
         with self.assertRaises(DocumentError):
