--- a/briarspur/burn.py
+++ b/briarspur/burn.py
@@ -41,6 +41,7 @@
 """Seconds after a minute's end at which entries are read."""
 
 ASKED_AT_ONCE = 20
+LIVE_NOTE = "sums since each entry started: every window shows the same, and none is known"
 MAX_PENDING = 360
 """Minutes a service that wait for the store; older ones are dropped and so stay missing."""
 
@@ -208,7 +209,7 @@
     for service, found in counted.items():
         series[service] = LevelSeries()
         series[service].add(found.slot, encode(found.latency))
-    return make_report(policy.user, _objectives(policy, None), series, now)
+    return make_report(policy.user, _objectives(policy, None), series, now, LIVE_NOTE)
 
 
 class _Daemon:
--- a/briarspur/burnreport.py
+++ b/briarspur/burnreport.py
@@ -65,11 +65,18 @@
 
 @dataclass(frozen=True, slots=True)
 class BurnReport:
-    """The report at the Unix time ``made_at``, the gravest service first."""
+    """The report at the Unix time ``made_at``, the gravest service first.
+
+    Attributes
+    ----------
+    note : str
+        What a reader must know of where the counts come from; empty for a collected history.
+    """
 
     user: str
     made_at: float
     services: tuple[ServiceReport, ...]
+    note: str = ""
 
     @property
     def severity(self) -> Severity:
@@ -83,6 +90,7 @@
     objectives_by_service: Mapping[str, Objective],
     series_by_service: Mapping[str, LevelSeries],
     now: float,
+    note: str = "",
 ) -> BurnReport:
     """Return the report on what was collected; a service without data is reported as unknown."""
     services = [
@@ -90,12 +98,14 @@
         for service, objective in objectives_by_service.items()
     ]
     services.sort(key=lambda found: (-GRAVITY.index(found.burn.severity), found.burn.service))
-    return BurnReport(user, now, tuple(services))
+    return BurnReport(user, now, tuple(services), note)
 
 
 def report_text(report: BurnReport) -> str:
     """Return the report as plain text."""
-    return "\n\n".join(_service_text(service) for service in report.services) or "no service"
+    parts = [report.note] if report.note else []
+    parts += [_service_text(service) for service in report.services]
+    return "\n\n".join(parts) or "no service"
 
 
 def report_html(report: BurnReport) -> str:
--- a/briarspur/cli.py
+++ b/briarspur/cli.py
@@ -200,7 +200,7 @@
             context.repository, context.directory, context.fetcher, self.service, self.client
         )
         show(context, report, printing.lookup_text)
-        return ExitCode.OK
+        return ExitCode.REFUSED if report.refused else ExitCode.OK
 
 
 @cappa.command(epilog="Example: `briarspur explain POST /booking/new --client 10.2.0.9`")
--- a/briarspur/consolepages.py
+++ b/briarspur/consolepages.py
@@ -175,16 +175,17 @@
         editing = await self._draft_of(asked)
         verb, _, argument = asked.get("action").partition(":")
         if verb == "review":
-            return await self._review(asked, editing)
+            return await self._review(asked, editing, asked.get("note"))
         if verb == "state":
-            return await self._review(asked, _with_state(editing, argument))
+            return await self._review(
+                asked, _with_state(editing, argument), argument.replace(":", " ")
+            )
         if verb == "rollback":
             past = await self._repository.revision(int(argument) if argument.isdecimal() else 0)
             if past is None:
                 return self._message(asked, NOT_FOUND, "That version is not in the history.")
-            return await self._review(
-                asked, _Editing(porcelain.as_json(past.document), editing.base)
-            )
+            back = _Editing(porcelain.as_json(past.document), editing.base)
+            return await self._review(asked, back, f"rollback to {past.version}")
         return self._form(asked, _edited(editing, verb, argument, asked))
 
     async def _draft_of(self, asked: Asked) -> _Editing:
@@ -223,17 +224,17 @@
             messages_by_path=messages_by_path,
         )
 
-    async def _review(self, asked: Asked, editing: _Editing) -> Page:
+    async def _review(self, asked: Asked, editing: _Editing, note: str) -> Page:
         """Show the whole document and its difference, or each fault at its field."""
         report = porcelain.check(json.dumps(editing.draft))
         if report.document is None:
             faults = located(report.faults)
             first = _Editing(editing.draft, editing.base, section_of(faults[0].path))
             return self._form(asked, first, faults)
-        return await self._show_review(asked, report.document, editing.base)
+        return await self._show_review(asked, report.document, editing.base, note)
 
     async def _show_review(
-        self, asked: Asked, document: PolicyDocument, base: int, fault: str = ""
+        self, asked: Asked, document: PolicyDocument, base: int, note: str, fault: str = ""
     ) -> Page:
         current = await self._repository.current()
         before = porcelain.as_json(current.document) if current else {}
@@ -248,7 +249,7 @@
             warnings=warnings_of(document),
             whole=json.dumps(whole, indent=2, ensure_ascii=False),
             document=json.dumps(whole),
-            note=asked.get("note"),
+            note=note,
             fault=fault,
         )
 
@@ -259,7 +260,8 @@
         name = self._tokens.name_of(asked.get("token"))
         if name is None:
             logs.event("change-refused", logging.WARNING, reason="no operator's token")
-            return await self._show_review(asked, document, base, "The operator's token is wrong.")
+            fault = "The operator's token is wrong."
+            return await self._show_review(asked, document, base, asked.get("note"), fault)
         signature = sign(name, asked.get("note")[:MAX_NOTE])
         result = await porcelain.apply(self._repository, document, base, signature)
         if result.is_error():
@@ -305,7 +307,7 @@
             if asked.get(f"keep.{comparison.conflicts[index].mine.name}") == "mine"
         }
         merged = resolve(comparison, mine, editing.draft, keep)
-        return await self._review(asked, _Editing(merged, editing.base))
+        return await self._review(asked, _Editing(merged, editing.base), asked.get("note"))
 
     async def _conflict_now(self, asked: Asked, mine: Draft) -> Page:
         """Show the conflict of a draft with what is in force now."""
--- a/briarspur/errors.py
+++ b/briarspur/errors.py
@@ -7,6 +7,7 @@
     "DocumentError",
     "Fault",
     "PeerError",
+    "PeerRefusalError",
     "SettingsError",
 ]
 
@@ -49,3 +50,23 @@
 
 class PeerError(BriarspurError):
     """Another entry could not be reached or did not answer."""
+
+
+class PeerRefusalError(PeerError):
+    """Another program answered with a refusal.
+
+    Parameters
+    ----------
+    name : str
+        Who answered.
+    status : int
+        HTTP status.
+    answer : dict
+        The refusal's JSON document; empty if there was none.
+    """
+
+    def __init__(self, name: str, status: int, answer: dict[str, object]) -> None:
+        code = f" {answer['code']} {answer.get('name', '')}" if "code" in answer else ""
+        super().__init__(f"{name}: HTTP status {status}{code}")
+        self.status = status
+        self.answer = answer
--- a/briarspur/fetch.py
+++ b/briarspur/fetch.py
@@ -12,7 +12,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 
-from briarspur.errors import PeerError
+from briarspur.errors import PeerError, PeerRefusalError
 
 __all__ = ["Endpoint", "Fetcher", "HttpFetcher"]
 
@@ -37,6 +37,8 @@
 
         Raises
         ------
+        PeerRefusalError
+            The program answered with another status than 200.
         PeerError
             No whole, valid answer came in time.
         """
@@ -72,7 +74,7 @@
             # Twisted raises many unrelated classes here; each means that no whole answer came.
             raise PeerError(f"{endpoint.name}: {_reason(error)}") from error
         if response.code != OK:
-            raise PeerError(f"{endpoint.name}: HTTP status {response.code} for {path}")
+            raise PeerRefusalError(endpoint.name, response.code, _refusal(body))
         try:
             return json.loads(body)
         except ValueError:
@@ -115,5 +117,14 @@
     return done
 
 
+def _refusal(body: bytes) -> dict[str, Any]:
+    """Return the document of a refusal; empty if the body is none."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
 def _reason(error: Exception) -> str:
     return str(error).splitlines()[0] if str(error) else type(error).__name__
--- a/briarspur/inquiry.py
+++ b/briarspur/inquiry.py
@@ -8,8 +8,9 @@
 
 from pydantic import ValidationError
 
+from briarspur.codes import Code
 from briarspur.coord.store import ABSENT
-from briarspur.errors import PeerError
+from briarspur.errors import PeerError, PeerRefusalError
 from briarspur.explain import RegionChoice, region_order
 from briarspur.fetch import Endpoint, Fetcher
 from briarspur.policy import compile_policy
@@ -22,6 +23,8 @@
 STATUS_PATH = "/status"
 LOOKUP_PATH = "/v1/lookup"
 ASKED_AT_ONCE = 20
+FINAL_REFUSALS = frozenset({Code.UNKNOWN_SERVICE, Code.BAD_REQUEST})
+"""Refusals of a look-up that every entry would give; after others a caller asks the next one."""
 
 
 class Directory(Protocol):
@@ -59,6 +62,7 @@
     answer: dict[str, Any]
     not_answering: dict[str, str]
     reasons: tuple[str, ...]
+    refused: bool = False
 
 
 async def status(
@@ -123,6 +127,12 @@
     for endpoint in await directory.endpoints():
         try:
             answer = await fetcher.get_json(endpoint, path)
+        except PeerRefusalError as error:
+            if error.answer.get("code") not in FINAL_REFUSALS:
+                not_answering[endpoint.name] = str(error)
+                continue
+            refusal = (f"refused: {error}",)
+            return LookupReport(endpoint.name, error.answer, not_answering, refusal, refused=True)
         except PeerError as error:
             not_answering[endpoint.name] = str(error)
             continue
--- a/briarspur/serviceview.py
+++ b/briarspur/serviceview.py
@@ -1,5 +1,6 @@
 """What the console shows of services: burn, split planned and now, headroom, drains."""
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -20,6 +21,9 @@
 
 __all__ = ["RegionView", "ServiceView"]
 
+SEPARATORS = re.compile(r"[/.]")
+"""Between the parts of a budget's name, one of which is the region."""
+
 
 @dataclass(frozen=True, slots=True)
 class RegionView:
@@ -125,7 +129,7 @@
 ) -> RegionView:
     targets = policy.targets_of(service, region)
     staying = [target for target in targets if target.state is not TargetState.LEAVING]
-    budgets = [b for name, b in fleet.budgets_by_name.items() if region in name.split(".")]
+    budgets = [b for name, b in fleet.budgets_by_name.items() if region in SEPARATORS.split(name)]
     return RegionView(
         region=region,
         targets=len(staying),
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -7,7 +7,7 @@
 
 from briarspur import porcelain
 from briarspur.coord.store import ABSENT
-from briarspur.errors import PeerError
+from briarspur.errors import PeerError, PeerRefusalError
 from briarspur.fetch import Endpoint
 from briarspur.policy import PolicyDocument, TargetState, parse_policy
 from briarspur.porcelain import Refused, Signature
@@ -30,6 +30,7 @@
     def __init__(self, names: list[str]) -> None:
         self.names = names
         self.answers: dict[str, Any] = {}
+        self.refusals: dict[str, dict[str, object]] = {}
         self.paths: list[str] = []
 
     async def endpoints(self) -> list[Endpoint]:
@@ -37,6 +38,8 @@
 
     async def get_json(self, endpoint: Endpoint, path: str) -> Any:
         self.paths.append(path)
+        if endpoint.name in self.refusals:
+            raise PeerRefusalError(endpoint.name, 503, self.refusals[endpoint.name])
         if endpoint.name not in self.answers:
             raise PeerError(f"{endpoint.name}: refused")
         return self.answers[endpoint.name]
@@ -161,6 +164,15 @@
         fleet = await porcelain.status(PolicyRepository(FakeStore(), at_once), entries, entries)
         self.assertEqual(list(fleet.unreachable_by_id), ["e2"])
 
+    async def test_a_refused_lookup_is_an_answer(self) -> None:
+        entries = FakeEntries(["e1", "e2"])
+        entries.refusals["e1"] = {"code": 2107, "name": "NOT_READY"}
+        entries.refusals["e2"] = {"code": 2001, "name": "UNKNOWN_SERVICE"}
+        repository = PolicyRepository(FakeStore(), at_once)
+        report = await porcelain.lookup(repository, entries, entries, "nowhere", None)
+        self.assertEqual((report.asked, report.refused), ("e2", True))
+        self.assertEqual(list(report.not_answering), ["e1"])
+
     async def test_lookup_asks_the_next_entry(self) -> None:
         entries = FakeEntries(["e1", "e2"])
         repository = PolicyRepository(FakeStore(), at_once)
