Connect to IP numbers without a resolver

A whole test run hung for eight minutes after its last line: threads of Twisted's name resolver kept the process from ending. Ruled out by running each test module alone: child processes and the reactor. Twisted's default endpoint resolves even an IP number in a thread pool.

--- a/briarspur/backend.py
+++ b/briarspur/backend.py
@@ -11,18 +11,18 @@
 
 from twisted.internet import error
 from twisted.internet.defer import CancelledError, Deferred, succeed
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.interfaces import IReactorTCP, IStreamClientEndpoint
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web._newclient import HTTP11ClientProtocol, RequestNotSent
-from twisted.web.client import URI, Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from briarspur.endpoints import NumberEndpoints
 from briarspur.messages import Failure
 
 __all__ = ["AnswerHead", "Attempt", "AttemptError", "AttemptEvents", "BackendClient", "Outgoing"]
@@ -148,7 +148,7 @@
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = MOST_KEPT
         self._pool.cachedConnectionTimeout = KEPT_CONNECTION_LIFETIME
-        self._endpoints = _NumberEndpoints(reactor, connect_timeout)
+        self._endpoints = NumberEndpoints(reactor, connect_timeout)
         self._open_by_address: Counter[tuple[str, int]] = Counter()
 
     def send(self, outgoing: Outgoing, events: AttemptEvents) -> "Attempt":
@@ -330,23 +330,6 @@
         return connection
 
 
-@implementer(IAgentEndpointFactory)
-class _NumberEndpoints:
-    """Endpoints of hosts given by IP number, so no name is ever resolved."""
-
-    def __init__(self, reactor: IReactorTCP, timeout: float) -> None:
-        self._reactor = reactor
-        self._timeout = timeout
-
-    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
-        """Return the endpoint of an address."""
-        host = uri.host.decode("ascii")
-        kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return cast(
-            IStreamClientEndpoint, kind(self._reactor, host, uri.port, timeout=self._timeout)
-        )
-
-
 @implementer(IBodyProducer)
 class _WholeBody:
     """A request body that is in memory already."""
--- a/briarspur/fetch.py
+++ b/briarspur/fetch.py
@@ -12,6 +12,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 
+from briarspur.endpoints import NumberEndpoints
 from briarspur.errors import PeerError, PeerRefusalError
 
 __all__ = ["Endpoint", "Fetcher", "HttpFetcher"]
@@ -55,7 +56,8 @@
 
     def __init__(self, reactor: IReactorTCP, timeout: float) -> None:
         pool = HTTPConnectionPool(reactor, persistent=False)
-        self._agent = Agent(reactor, connectTimeout=timeout, pool=pool)
+        endpoints = NumberEndpoints(reactor, timeout)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
         self._timeout = timeout
 
     async def get_json(self, endpoint: Endpoint, path: str) -> Any:
