Uncount requests that a region refused, so that its baseline does not grow

A flow may carry in each window what it carried in the one before, without drawing on a cap. Requests that were counted when their region was chosen and then refused there raised that baseline: with the south full for two windows, 60 requests passed in the third against a share of 20. They are given back now. What they drew on the cap stays drawn.

--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -261,15 +261,15 @@
         """Quarantine and deadline, then the choice of a region."""
         verdict = self.quarantine.admit(work.request.body_digest, now)
         if verdict is Admission.REFUSE:
-            self._finals.give_up(work, Refusal(Code.QUARANTINED), out)
+            self._refuse(work, Refusal(Code.QUARANTINED), out)
             return
         work.alone = verdict is Admission.RUN_ALONE
         if now >= work.deadline:
-            self._finals.give_up(work, Refusal(Code.DEADLINE_TOO_SHORT), out)
+            self._refuse(work, Refusal(Code.DEADLINE_TOO_SHORT), out)
             return
         refusal = self.routing.choose_region(work, now)
         if refusal is not None:
-            self._finals.give_up(work, refusal, out)
+            self._refuse(work, refusal, out)
             return
         self._place(work, now, out)
 
@@ -283,16 +283,16 @@
             case Queued(evicted=evicted):
                 if evicted is not None:
                     refusal = self.placement.overloaded(evicted.service.name, now)
-                    self._finals.give_up(evicted, refusal, out)
+                    self._refuse(evicted, refusal, out)
             case Refused(refusal=refusal):
-                self._finals.give_up(work, refusal, out)
+                self._refuse(work, refusal, out)
 
     def _dispatch(self, work: Work, own: OwnTarget, now: float, out: list[Action]) -> None:
         action = self._inflight.to_target(work, own, now)
         if action is not None:
             out.append(action)
         else:
-            self._finals.give_up(work, self.placement.overloaded(work.service.name, now), out)
+            self._refuse(work, self.placement.overloaded(work.service.name, now), out)
 
     def _forward(
         self,
@@ -306,7 +306,7 @@
         if action is not None:
             out.append(action)
         else:
-            self._finals.give_up(work, self.placement.overloaded(work.service.name, now), out)
+            self._refuse(work, self.placement.overloaded(work.service.name, now), out)
 
     # Events of attempts
 
@@ -392,10 +392,22 @@
             return False
         return work.key is None or (proof is not None and self.keys.retry(work.key, proof))
 
+    def _refuse(
+        self,
+        work: Work,
+        refusal: Refusal,
+        out: list[Action],
+        proof: NotRunProof | None = None,
+    ) -> None:
+        """End a request that was not run, and say so."""
+        if work.tries == 0 or proof is not None:
+            self.routing.not_sent(work)
+        self._finals.give_up(work, refusal, out, proof)
+
     def _admit_again(self, work: Work, now: float, out: list[Action]) -> None:
         verdict = self.quarantine.admit(work.request.body_digest, now)
         if verdict is Admission.REFUSE:
-            self._finals.give_up(work, Refusal(Code.QUARANTINED), out)
+            self._refuse(work, Refusal(Code.QUARANTINED), out)
             return
         work.alone = verdict is Admission.RUN_ALONE
         self._place(work, now, out)
@@ -423,7 +435,7 @@
             code = FINAL_CODE_BY_FAILURE[failure]
             if failure in REPEATABLE:
                 retry_after = retry_after or self.placement.retry_after(work.service.name, now)
-            self._finals.give_up(work, Refusal(code, failure.value, retry_after), out, proof)
+            self._refuse(work, Refusal(code, failure.value, retry_after), out, proof)
 
     # Claims and outcomes in the store
 
@@ -441,7 +453,7 @@
         # Another entry holds the claim, or nobody can tell: an earlier copy may have run there.
         taken = result is ClaimResult.TAKEN
         code = Code.HOME_GONE if taken else Code.STORE_UNAVAILABLE
-        self._finals.give_up(work, Refusal(code, retry_after=None if taken else 2.0), out)
+        self._refuse(work, Refusal(code, retry_after=None if taken else 2.0), out)
         return out
 
     def outcome_fetched(
@@ -463,7 +475,7 @@
         """Refuse at once what would wait too long, and use what has become free."""
         out: list[Action] = []
         for work in self.placement.hopeless(now):
-            self._finals.give_up(work, self.placement.overloaded(work.service.name, now), out)
+            self._refuse(work, self.placement.overloaded(work.service.name, now), out)
         self.keys.expire(now, wall)
         self._run_waiting(now, out)
         return out
--- a/briarspur/routing.py
+++ b/briarspur/routing.py
@@ -94,8 +94,20 @@
         if chosen.is_error():
             return self._with_retry_after(chosen.error, now)
         work.region, work.moved_by = chosen.ok.region, chosen.ok.moved_by
+        work.counted_at = now
         return None
 
+    def not_sent(self, work: Work) -> None:
+        """Uncount a request that was refused in the region chosen for it.
+
+        Counted as carried, refused requests would raise what the next window lets through without
+        a cap: a region that refuses everything for a while would then be flooded.
+        """
+        if work.counted_at is not None:
+            service = work.service.name
+            self.shifts.give_back(service, work.home, work.region, work.counted_at)
+            work.counted_at = None
+
     def _gate(self, service: str, home: str, region: str, kind: MovedBy, now: float) -> bool:
         return self.shifts.take(service, home, region, kind.value, now)
 
@@ -123,11 +135,12 @@
             if region == refused_in or not self._placement.has_room(service, region, now):
                 continue
             if self._gate(service, work.home, region, MovedBy.EMERGENCY, now):
+                self.not_sent(work)
                 work.region, work.moved_by = region, MovedBy.EMERGENCY
+                work.counted_at = now
                 placed = self._placement.place(work, now, may_forward=True)
                 if not isinstance(placed, Refused):
                     return placed
-        work.region = refused_in
         return None
 
 
--- a/briarspur/work.py
+++ b/briarspur/work.py
@@ -53,6 +53,8 @@
 
     Attributes
     ----------
+    counted_at : float or None
+        When the shift budget counted it as traffic to ``region``; None if it was not sent on.
     key : Key or None
         Set if this entry is the home of the request's key.
     tries : int
@@ -75,6 +77,7 @@
     arrived: float
     region: str = ""
     moved_by: MovedBy | None = None
+    counted_at: float | None = None
     key: Key | None = None
     attempt: Attempt | None = None
     tries: int = 0
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -7,7 +7,7 @@
 
 from briarspur.blocks import BlockTable
 from briarspur.coord.keys import make_prefix
-from briarspur.core import Core
+from briarspur.core import Core, CoreSettings
 from briarspur.members import MemberView, ViewedMember
 from briarspur.messages import EntryAddress, Request
 from briarspur.policy import compile_policy, parse_policy
@@ -35,12 +35,14 @@
     return MemberView(by_id)
 
 
-def make_core(me: str, rng: random.Random, entries: int = 1) -> Core:
+def make_core(
+    me: str, rng: random.Random, entries: int = 1, settings: CoreSettings | None = None
+) -> Core:
     """Return a core that has a policy of two regions and sees all entries."""
     policy = compile_policy(parse_policy(json.dumps(small_policy(entries=entries))), version=1)
     number = int(me.rpartition("-")[2])
     region = "north" if number <= entries else "south"
-    core = Core(me, region, body(number), rng, 0.0)
+    core = Core(me, region, body(number), rng, 0.0, settings)
     table = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
     core.policy_accepted(policy, table.home, 0.0)
     core.view_changed(make_view(entries), 0.0)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,8 +5,10 @@
 
 from briarspur.codes import Code
 from briarspur.coord.invariants import invariants
+from briarspur.core import CoreSettings
+from briarspur.members import MemberView
 from briarspur.messages import Answer, Begin, Dispatch, Failure, Forward, Refuse, Reply
-from tests.bench import Bench, body, make_core
+from tests.bench import Bench, body, make_core, make_view
 
 
 class ServeTest(unittest.TestCase):
@@ -114,3 +116,40 @@
         asked = self.bench.arrive("POST", "/booking/new", key=key)[0]
         ended = self.core.outcome_fetched(asked.request_id, False, None, 0.1)
         self.assertEqual(ended[0].refusal.code, Code.HOME_GONE)
+
+
+class ShiftTest(unittest.TestCase):
+    """Traffic of a lost region moves no faster than its cap."""
+
+    WINDOW = 5.0
+    SHARE = 20
+    """The emergency cap of the small policy, divided by its two entries."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+        self.core = make_core("entry-2", random.Random(1), settings=CoreSettings(queue_limit=0))
+        south_only = {"entry-2": make_view(1).by_id["entry-2"]}
+        self.core.view_changed(MemberView(south_only), 0.0)
+        self.bench = Bench(self.core)
+
+    def test_moved_requests_beyond_the_cap_are_refused_at_once(self) -> None:
+        codes = self._codes(self.SHARE + 5, now=1.0)
+        self.assertEqual(codes.count(Code.SHIFT_CAPPED), 5)
+
+    def test_refused_requests_do_not_raise_what_may_move_next(self) -> None:
+        """A region that was full is flooded beyond its cap when it has room again.
+
+        The north is lost and the south, full, refuses what moves there for two windows. Counted as
+        carried, the refused requests would let as many more through in the third window.
+        """
+        for window in range(2):
+            self._codes(3 * self.SHARE, now=window * self.WINDOW + 1.0)
+        codes = self._codes(4 * self.SHARE, now=2 * self.WINDOW + 1.0)
+        passed = [code for code in codes if code is not Code.SHIFT_CAPPED]
+        # Two requests hold the two targets' first slots from the first window on.
+        self.assertLessEqual(len(passed), self.SHARE + 2)
+
+    def _codes(self, count: int, now: float) -> list[Code | None]:
+        """Let callers of the north send requests; return the code of each refusal."""
+        batches = [self.bench.arrive("GET", f"/times/{n}", now) for n in range(count)]
+        return [getattr(getattr(b[0], "refusal", None), "code", None) for b in batches]
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -14,8 +14,8 @@
     def test_a_fetch_starts_no_thread(self) -> None:
         """A daemon that was told to stop never ends, and its VM can't be replaced.
 
-        Twisted's default endpoint asks a resolver in a thread pool even for an IP number; the pool's
-        threads wait for ever and keep the process from ending. Seen as a test run that hung.
+        Twisted's default endpoint asks a resolver in a thread pool even for an IP number; the
+        pool's threads wait for ever and keep the process from ending.
         """
 
         async def work() -> None:
