--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import random
 import secrets
@@ -69,17 +70,17 @@
         self._metrics: Metrics = NullMetrics()
         if settings.statsd is not None:
             self._metrics = StatsdMetrics(settings.statsd)
-        self._node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
-        self._node.on_core = self._core_made
+        self.node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
+        self.node.on_core = self._core_made
         self._in_force = InForce(
-            {POLICY_NAME: self._node.policy_stored, PLAN_NAME: self._node.plan_stored}
+            {POLICY_NAME: self.node.policy_stored, PLAN_NAME: self.node.plan_stored}
         )
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
             NotReady(),
-            self._node.look_up,
-            self._node,
+            self.node.look_up,
+            self.node,
             self._metrics,
             ServerSettings(self._incarnation, settings.limits),
         )
@@ -107,11 +108,11 @@
 
     def is_ready(self) -> bool:
         """Return whether callers may come."""
-        return self._node.is_ready()
+        return self.node.is_ready()
 
     def policy_version(self) -> int:
         """Return the version in force, 0 if there is none."""
-        return self._node.policy.version if self._node.policy is not None else 0
+        return self.node.policy.version if self.node.policy is not None else 0
 
     async def stop(self) -> None:
         """End in order; see :class:`GracefulStop`."""
@@ -131,14 +132,14 @@
     def leave(self) -> None:
         """Leave look-ups and hand the targets over."""
         self._left_at = self._clock.monotonic()
-        self._node.leaving = True
+        self.node.leaving = True
         if self._peering is not None:
             self._peering.leave()
 
     def lookups_lapse_at(self) -> float:
         """Return when the last look-up that may name this entry has lapsed."""
         spread = LEAVE_SPREAD_PROBES * self._settings.probe_interval_s
-        policy = self._node.policy
+        policy = self.node.policy
         return self._left_at + spread + policy.lookup_lifetime if policy else self._left_at
 
     def open_requests(self) -> int:
@@ -151,7 +152,7 @@
 
     async def write_outcomes(self) -> None:
         """Leave what became of this entry's keys in the store."""
-        core = self._node.core
+        core = self.node.core
         if core is None:
             return
         pages = outcomes_of(core.keys)
@@ -189,11 +190,16 @@
             self._client,
             self._reactor,
             ObjectKeyStore(self.store, claims),
-            self._node,
+            self.node,
             settings,
-            self._node.pacing,
+            self.node.pacing,
         )
-        self._node.on_actions = self._carrier.carry_out
+        self.node.on_actions = self._carrier.carry_out
+        # A full collection walks every object, those of the imported modules above all, and all
+        # callers wait meanwhile. What is alive by now lives as long as the process, so it is left
+        # out from here on.
+        gc.collect()
+        gc.freeze()
         self._server.arrivals = self._carrier
         self._peering = self._make_peering(core)
         self._peering.show_view()
@@ -207,7 +213,7 @@
         me = Member(
             member_id=settings.entry_id,
             incarnation=self._incarnation,
-            region=self._node.region,
+            region=self.node.region,
             zone=settings.zone,
             host=settings.host,
             caller_port=self._caller_port,
@@ -221,15 +227,15 @@
             in_force=self._in_force,
             client=self._peers,
             vms=self._vms,
-            on_view=self._node.view_changed,
-            load=self._node.load_report,
+            on_view=self.node.view_changed,
+            load=self.node.load_report,
             clock=self._clock.monotonic,
             rng=self._rng,
             times=PeeringTimes(period=settings.probe_interval_s),
         )
 
     def _connections_of(self, target_id: str) -> int:
-        policy = self._node.policy
+        policy = self.node.policy
         target = policy.targets_by_id.get(target_id) if policy is not None else None
         return target.connections if target is not None else DEFAULT_CONNECTIONS
 
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -131,8 +131,7 @@
     def _put_in_force(self, policy: Policy) -> None:
         now = self._clock.monotonic()
         self.policy = policy
-        blocks = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
-        self._blocks = blocks
+        self._blocks = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
         self.pacing.policy_accepted(policy, now)
         latency_by_service = {
             name: service.objective.latency for name, service in policy.services_by_name.items()
@@ -140,7 +139,7 @@
         self._levels.set_objectives(latency_by_service)
         is_first = self.core is None
         core = self.core or self._make_core(now)
-        actions = core.policy_accepted(policy, blocks.home, now)
+        actions = core.policy_accepted(policy, self.home_of, now)
         if is_first:
             self.on_core(core)
             self._follow_plan()
@@ -175,6 +174,15 @@
         if self.policy is not None:
             self._lookups = LookupTable(self.policy, self.view, core.rule)
 
+    def take_blocks(self, blocks: BlockTable) -> None:
+        """Use a table of blocks in place of the prefixes in the policy."""
+        self._blocks = blocks
+
+    def home_of(self, block: int) -> str:
+        """Return the home region of a block of clients."""
+        assert self._blocks is not None
+        return self._blocks.home(block)
+
     # Look-ups
 
     def look_up(self, service: str, block: int) -> Result[bytes, Refusal]:
