--- a/standins/backend.py
+++ b/standins/backend.py
@@ -206,7 +206,7 @@
         self._listening.stopListening()
         self._listening = None
         for channel in list(self.site.channels):
-            channel.abortConnection()
+            channel._channel.transport.abortConnection()
         self.warmth = Warmth(self.time)
         _reactor().callLater(self.backend.settings.crash_s, self.listen)
 
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -61,6 +61,21 @@
 
         run(with_target(work))
 
+    def test_a_poison_request_takes_its_neighbours_with_it(self) -> None:
+        async def work(target: Any, call: Callable[..., Awaitable[Any]]) -> None:
+            ends = await asyncio.gather(
+                call(b"POST", "/booking/", {b"Idempotency-Key": b"key-0001"}),
+                call(b"GET", "/times/poison"),
+                return_exceptions=True,
+            )
+            self.assertTrue(all(isinstance(end, Exception) for end in ends), ends)
+            self.assertEqual((target.counts.crashes, target.counts.in_flight), (1, 0))
+            self.assertEqual(target.backend.ledger.runs_by_key, {})
+            while target._listening is None:
+                await asyncio.sleep(0.01)
+
+        run(with_target(work))
+
     def test_a_range_is_answered_only_for_the_same_content(self) -> None:
         async def work(target: Any, call: Callable[..., Awaitable[Any]]) -> None:
             path = "/charts/pack?bytes=100000"
@@ -89,7 +104,9 @@
         target_id="t-1", host="127.0.0.1", port=0, service="s", region="r", zone="z", slots=2
     )
     times = {"s": ServiceTime(median_ms=5.0, bytes_per_s=10_000_000)}
-    backend = Backend(BackendSettings(control_port=0, times_by_service=times, targets=[target]))
+    backend = Backend(
+        BackendSettings(control_port=0, crash_s=0.05, times_by_service=times, targets=[target])
+    )
     hosted = backend.targets_by_id["t-1"]
     hosted.listen()
     pool = HTTPConnectionPool(reactor)
