--- a/standins/demo.py
+++ b/standins/demo.py
@@ -26,6 +26,7 @@
 STOP_AT_S = 12.0
 STOPPED_ENTRY = "entry-10"
 ENTRY_STOP_S = 60.0
+PROGRESS_S = 2.0
 VM_LAG_S = 2.0
 DRAIN_SERVICE = {"iroise": "charts", "holzwerk": "plans"}
 CALLERS_END_S = 90.0
@@ -67,10 +68,11 @@
     return all(versions.get(entry_id, 0) >= version for entry_id in running)
 
 
-def drain(system: System, target_id: str, events: Events) -> None:
-    """Drain a backend server by the command line; its requests in flight run to their end."""
+def drain(system: System, service: str, events: Events) -> None:
+    """Drain a busy backend server by the command line; what it runs goes on to its end."""
+    until(lambda: system.busiest(service)[1] > 0, f"a request at a target of {service}")
+    target_id, in_flight = system.busiest(service)
     began = time.monotonic()
-    in_flight = system.counts(target_id)["in_flight"]
     system.operate("drain", target_id)
     until(lambda: system.counts(target_id)["in_flight"] == 0, f"{target_id} drained", 60.0)
     events.say(
@@ -91,7 +93,6 @@
 def run(system: System, deployment: str, seconds: float) -> int:
     """Run the whole demo; return the exit code."""
     events = Events()
-    target_id = f"{DRAIN_SERVICE[deployment]}-1"
     system.switch_platform(vm_lag_s=VM_LAG_S)
     began = time.monotonic()
     system.start_callers(seconds)
@@ -99,7 +100,7 @@
     _show_until(system, began + POLICY_AT_S)
     change_policy(system, events)
     _show_until(system, began + DRAIN_AT_S)
-    drain(system, target_id, events)
+    drain(system, DRAIN_SERVICE[deployment], events)
     _show_until(system, began + STOP_AT_S)
     stop_entry(system, events)
     _show_until(system, began + seconds)
@@ -116,11 +117,13 @@
 
 def _show_until(system: System, at: float) -> None:
     """Show what callers say until the time has come."""
+    shown: dict[str, str] = {}
     while (left := at - time.monotonic()) > 0:
-        time.sleep(min(2.0, left))
+        time.sleep(min(PROGRESS_S, left))
         for name in system.callers_running():
             lines = system.launcher.log(name).read_text().splitlines()
-            if lines:
+            if lines and shown.get(name) != lines[-1]:
+                shown[name] = lines[-1]
                 print(f"  {lines[-1]}", flush=True)
 
 
@@ -193,7 +196,7 @@
                 print(
                     f"{arguments.deployment}: starting {len(system.entry_ids)} entries", flush=True
                 )
-                system.start()
+                system.start(steers=False)
                 if not arguments.keep:
                     return run(system, arguments.deployment, arguments.seconds)
                 show_addresses(system)
--- a/standins/system.py
+++ b/standins/system.py
@@ -210,6 +210,17 @@
                 return found
         raise KeyError(target_id)
 
+    def busiest(self, service: str) -> tuple[str, int]:
+        """Return the target of a service with most in flight, and how much that is."""
+        found = [
+            (counts["in_flight"], target_id)
+            for ledger in self.ledgers()
+            for target_id, counts in ledger["counts_by_target"].items()
+            if self.deployment.policy().targets[target_id].service == service
+        ]
+        in_flight, target_id = max(found)
+        return target_id, in_flight
+
     # Callers
 
     def start_callers(self, seconds: float, loads: list[Load] | None = None) -> None:
