Hold a new entry back until it has heard from the others

Cause: a process that had just begun saw itself alone until its first probes were answered, reported itself ready, named itself alone in look-ups and owned every target of its region by the rule. Seen in the story of a killed entry: callers had look-ups with one entry, and no other to turn to. Ruled out: the caller's cache and the VM list, which was complete. The stand-in caller keeps the last final answer it had when later tries find nobody.

--- a/briarspur/coord/membership.py
+++ b/briarspur/coord/membership.py
@@ -114,6 +114,14 @@
         # Of two, each would wait for the other for ever; of more, all others rarely die at once.
         return (is_silent and self.table.others() > 1) or self.table.hears_too_few()
 
+    def has_contact(self) -> bool:
+        """Return whether the VM list was read or another member is known."""
+        return self.table.has_list or len(self.table.record_by_id) > 1
+
+    def unheard(self) -> int:
+        """Return how many listed addresses no known member has."""
+        return sum(self.table.at(address) is None for address in self.table.listed)
+
     def candidates(self, addresses: Iterable[Address], now: float) -> None:
         """Take a reading of the VM list; members it lacks are dropped only as said above."""
         self.table.candidates(addresses, now)
--- a/briarspur/coord/membertable.py
+++ b/briarspur/coord/membertable.py
@@ -52,7 +52,7 @@
         self.suspect_ids: set[str] = set()
         self.gone_ids: set[str] = set()
         self.unlisted_ids: set[str] = set()
-        self._has_list = False
+        self.has_list = False
         self._id_by_address: dict[Address, str] = {}
         self._id_by_incarnation: dict[str, str] = {}
         self._struck_incarnations: dict[str, None] = {}
@@ -117,7 +117,7 @@
     def candidates(self, addresses: Iterable[Address], now: float) -> None:
         """Take a reading of the VM list; members it lacks are dropped only as said above."""
         self.listed = frozenset(addresses)
-        self._has_list = True
+        self.has_list = True
         for member_id, record in self.record_by_id.items():
             if record.update.member.address in self.listed:
                 self.unlisted_ids.discard(member_id)
@@ -190,7 +190,7 @@
         self._id_by_incarnation[update.member.incarnation] = member_id
         if update.member.address in self.listed:
             self.unlisted_ids.discard(member_id)
-        elif self._has_list and member_id not in self.unlisted_ids:
+        elif self.has_list and member_id not in self.unlisted_ids:
             self.unlisted_ids.add(member_id)
             record.unlisted_since = now
         self.fresh_ids[member_id] = None
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -9,6 +9,7 @@
 
 from briarspur import logs
 from briarspur.coord.errors import StoreError
+from briarspur.coord.joining import Joining
 from briarspur.coord.members import Address, MemberState, Probe, ProbeOut, Reply
 from briarspur.coord.membership import Membership
 from briarspur.core import Core
@@ -84,6 +85,7 @@
         self._clock = clock
         self._rng = rng
         self._times = times
+        self._joining = Joining(times.period)
         self._shown_version = -1
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -152,6 +154,7 @@
                 listed = await self._vms.read()
                 addresses = [Address(vm.host, vm.peer_port) for vm in listed]
                 self._membership.candidates(addresses, self._clock())
+                self.show_view()
             except StoreError as error:
                 logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
             await asyncio.sleep(self._times.list_interval * (0.5 + self._rng.random()))
@@ -164,7 +167,11 @@
         self._send(self._membership.tick(now))
 
     def show_view(self) -> None:
-        """Hand on the view of the live entries if it changed."""
+        """Hand on the view of the live entries if it changed, once there is one to trust."""
+        membership = self._membership
+        unheard, has_contact = membership.unheard(), membership.has_contact()
+        if not self._joining.joined(has_contact, unheard, self._clock()):
+            return
         if self._membership.view_version == self._shown_version:
             return
         self._shown_version = self._membership.view_version
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -29,6 +29,8 @@
 PROGRESS_S = 2.0
 MOST_FAULTS = 50
 NO_CODE = 0
+HTTP_ERROR = 400
+DEFAULT_RETRY_S = 0.2
 
 
 @dataclass(slots=True)
@@ -47,7 +49,7 @@
     Attributes
     ----------
     code : int
-        Of the last answer; ``NO_CODE`` if the last attempt had none.
+        Of the last answer; ``NO_CODE`` if there was none.
     maybe_run : bool
         An attempt ended without saying whether it ran.
     """
@@ -159,7 +161,8 @@
             outcome, wait = await self._attempt(call, entry, left)
             if wait is None:
                 return outcome
-            last = outcome
+            if outcome is not Outcome.NONE:
+                last = outcome
             if time.monotonic() + wait > call.began + call.load.patience_s:
                 break
             await asyncio.sleep(wait)
@@ -186,7 +189,6 @@
             # Whether the entry took it is not known here: asking another one with the same key is
             # safe, because the key's home alone decides.
             call.history.append(f"{entry.host}:{entry.port} {type(error).__name__} {error}")
-            call.code = NO_CODE
             call.maybe_run = call.maybe_run or not isinstance(error, ConnectError)
             return Outcome.NONE, 0.0
         await asyncio.sleep(delay)
@@ -206,15 +208,16 @@
             if not got.whole:
                 call.code, call.maybe_run = NO_CODE, True
                 return Outcome.NONE, 0.0
+            if got.status >= HTTP_ERROR:
+                call.maybe_run = True
+                return Outcome.FAILED, None
             return (Outcome.ANSWERED if _is_right(call, got) else Outcome.WRONG), None
         if code == Code.ANSWERED_NOT_KEPT:
             return Outcome.ANSWERED, None
         call.maybe_run = call.maybe_run or info.ran is not Ran.NO
         outcome = Outcome.REFUSED if info.ran is Ran.NO else Outcome.UNKNOWN
-        if info.repeat is Repeat.SAME_KEY:
-            return outcome, 0.0
-        if info.repeat is Repeat.AFTER_RETRY_AFTER:
-            return outcome, float(got.header(b"Retry-After") or 1.0)
+        if info.repeat in (Repeat.SAME_KEY, Repeat.AFTER_RETRY_AFTER):
+            return outcome, float(got.header(b"Retry-After") or DEFAULT_RETRY_S)
         return outcome, None
 
     def _note(self, call: Call, outcome: Outcome) -> None:
