Tests of two entries: one key run once, a stop that callers do not see

A stopped entry stayed in the view of the others in one process, because a kept connection went on answering probes after the port was closed; it refuses them now.

--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -54,7 +54,7 @@
         from twisted.internet import reactor
 
         self._reactor = cast(Any, reactor)
-        self._settings = settings
+        self.settings = settings
         self._incarnation = secrets.token_hex(8)
         self._clock = NodeClock(monotonic=self._reactor.seconds)
         self.store = HttpObjectStore(settings.platform)
@@ -89,7 +89,7 @@
 
     async def start(self) -> None:
         """Listen, and begin to follow the policy."""
-        settings = self._settings
+        settings = self.settings
         ports = self._server.listen(settings.host, settings.caller_port, settings.forward_port)
         self._caller_port, self._forward_port = ports
         for name in (POLICY_NAME, PLAN_NAME):
@@ -110,17 +110,22 @@
         """Return whether callers may come."""
         return self.node.is_ready()
 
+    def members(self) -> int:
+        """Return how many live entries this one sees, itself included."""
+        return len(self.node.view.by_id)
+
     def policy_version(self) -> int:
         """Return the version in force, 0 if there is none."""
         return self.node.policy.version if self.node.policy is not None else 0
 
     async def stop(self) -> None:
         """End in order; see :class:`GracefulStop`."""
-        await GracefulStop(self, self._clock.monotonic, self._settings.drain_grace_s).run()
+        await GracefulStop(self, self._clock.monotonic, self.settings.drain_grace_s).run()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._peer_server is not None:
+        if self._peering is not None and self._peer_server is not None:
+            self._peering.stop()
             await self._peer_server.close()
         self._peers.close()
         await self._vms.close()
@@ -138,7 +143,7 @@
 
     def lookups_lapse_at(self) -> float:
         """Return when the last look-up that may name this entry has lapsed."""
-        spread = LEAVE_SPREAD_PROBES * self._settings.probe_interval_s
+        spread = LEAVE_SPREAD_PROBES * self.settings.probe_interval_s
         policy = self.node.policy
         return self._left_at + spread + policy.lookup_lifetime if policy else self._left_at
 
@@ -180,8 +185,8 @@
         """Carry requests from now on."""
         claims = Claims(self.store, self._incarnation, secrets.token_urlsafe)
         settings = CarrySettings(
-            self._settings.entry_id,
-            self._settings.limits.remembered_answer_bytes,
+            self.settings.entry_id,
+            self.settings.limits.remembered_answer_bytes,
             self._connections_of,
             self._clock.wall,
         )
@@ -204,12 +209,12 @@
         self._peering = self._make_peering(core)
         self._peering.show_view()
         self._peer_server = PeerServer(self._peering)
-        self._start(self._peer_server.start(self._settings.host, self._settings.peer_port))
+        self._start(self._peer_server.start(self.settings.host, self.settings.peer_port))
         self._start(self._peering.run())
         self._start(self._peering.follow_list())
 
     def _make_peering(self, core: Core) -> Peering:
-        settings = self._settings
+        settings = self.settings
         me = Member(
             member_id=settings.entry_id,
             incarnation=self._incarnation,
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from briarspur import logs
 from briarspur.coord.errors import StoreError
 from briarspur.coord.joining import Joining
@@ -87,6 +90,7 @@
         self._times = times
         self._joining = Joining(times.period)
         self._shown_version = -1
+        self._stopped = False
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -98,6 +102,10 @@
 
     def probed(self, probe: PeerProbe) -> PeerReply:
         """Answer a probe."""
+        if self._stopped:
+            # A kept connection may outlive the listening port; its last answers would keep a
+            # stopped entry in the view of the others.
+            raise GRPCError(Status.UNAVAILABLE, "stopped")
         now = self._clock()
         updates = self._membership.on_probe(Probe(probe.sender, probe.gossip.updates), now)
         self._heard(probe.sender, probe.gossip)
@@ -166,6 +174,10 @@
         self.show_view()
         self._send(self._membership.tick(now))
 
+    def stop(self) -> None:
+        """Answer no more probes."""
+        self._stopped = True
+
     def show_view(self) -> None:
         """Hand on the view of the live entries if it changed, once there is one to trust."""
         membership = self._membership
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import json
+import socket
+import time
 from typing import Any
 
+from briarspur.coord.keys import make_prefix
 from briarspur.documents import parse
 from briarspur.entry import EntryDaemon
 from briarspur.policy import PolicyDocument
@@ -19,10 +22,12 @@
 
 
 class Whole:
-    """A platform with a policy, a backend server for all targets, and one entry; a context."""
+    """A platform, a backend server for all targets, and entries of one region; a context."""
 
-    def __init__(self, script: Any = answer_ok) -> None:
+    def __init__(self, script: Any = answer_ok, entries: int = 1) -> None:
         self.backend = RawBackend(script)
+        self.entries = entries
+        self.daemons: list[EntryDaemon] = []
 
     async def __aenter__(self) -> "Whole":
         from standins.platform import Platform
@@ -31,27 +36,49 @@
         await self.backend.__aenter__()
         self.platform = Platform()
         self.listening = listen(self.platform, HOST, 0)
-        settings = {
+        for number in range(1, self.entries + 1):
+            daemon = EntryDaemon(self.settings(number))
+            await daemon.start()
+            self.daemons.append(daemon)
+        self.daemon = self.daemons[0]
+        self.caller_port = self.daemon.caller_port
+        vms = [
+            {
+                "id": f"entry-{number}",
+                "host": HOST,
+                "zone": "north-a",
+                "state": "live",
+                "caller_port": daemon.caller_port,
+                "forward_port": 1,
+                "peer_port": daemon.settings.peer_port,
+            }
+            for number, daemon in enumerate(self.daemons, 1)
+        ]
+        self.platform.vms.set(vms, 0.0)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await fired(self.listening.stopListening())
+        await self.backend.__aexit__()
+
+    def settings(self, number: int) -> EntrySettings:
+        with socket.socket() as free:
+            free.bind((HOST, 0))
+            peer_port = free.getsockname()[1]
+        document = {
             "platform": {"host": HOST, "port": self.listening.getHost().port},
-            "entry_id": "entry-1",
+            "entry_id": f"entry-{number}",
             "zone": "north-a",
             "host": HOST,
             "caller_port": 0,
             "forward_port": 0,
-            "peer_port": 0,
+            "peer_port": peer_port,
             "probe_interval_s": 0.05,
         }
-        self.daemon = EntryDaemon(parse(EntrySettings, json.dumps(settings), "settings"))
-        await self.daemon.start()
-        self.caller_port = self.daemon.caller_port
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await fired(self.listening.stopListening())
-        await self.backend.__aexit__()
+        return parse(EntrySettings, json.dumps(document), "settings")
 
     def policy(self) -> dict[str, Any]:
-        document = small_policy(entries=1)
+        document = small_policy(entries=self.entries)
         document["lookup_lifetime_s"] = 1.0
         for target in document["targets"].values():
             target["port"] = self.backend.port
@@ -64,12 +91,23 @@
         version: int = await self.daemon.store.put("policy", value, expected)
         return version
 
-    async def ask(self, request: bytes) -> Read:
-        async with RawCaller(self.caller_port) as caller:
+    async def ask(self, request: bytes, number: int = 1) -> Read:
+        async with RawCaller(self.daemons[number - 1].caller_port) as caller:
             return await caller.ask(request)
 
-    async def get(self, path: bytes) -> Read:
-        return await self.ask(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+    async def get(self, path: bytes, number: int = 1) -> Read:
+        return await self.ask(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n", number)
+
+    async def all_ready(self) -> None:
+        """Wait until every entry sees every other."""
+        await eventually(lambda: all(daemon.is_ready() for daemon in self.daemons))
+        await eventually(lambda: all(d.members() == len(self.daemons) for d in self.daemons))
+
+    async def booking(self, number: int, suffix: bytes) -> bytes:
+        """Return a booking whose key has this entry as its home."""
+        prefix = make_prefix(self.daemons[number - 1].incarnation, int(time.time()) + 60)
+        head = b"POST /booking/ HTTP/1.1\r\nIdempotency-Key: %b.%b" % (prefix.encode(), suffix)
+        return head + b"\r\nContent-Length: 4\r\n\r\nboat"
 
 
 class EntryTest(LoopTestCase):
@@ -163,3 +201,58 @@
                 await stop
 
         self.run_on_loop(work())
+
+
+class TwoEntriesTest(LoopTestCase):
+    """Two entries of one region, with probes and forwards between them."""
+
+    def test_key_is_run_once_whichever_entry_it_comes_to(self) -> None:
+        """A skipper's booking is repeated through another entry.
+
+        The first copy was run by the key's home. The other entry must get the answer from there;
+        if it ran the copy itself, two boats would come.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=2) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                for number in (1, 2):
+                    request = await whole.booking(number, b"abcdefgh")
+                    answers = [await whole.ask(request, n) for n in (1, 2, 1)]
+                    self.assertEqual([a.body for a in answers], [b"whole"] * 3)
+                    codes = [a.headers[b"briarspur-code"] for a in answers]
+                    self.assertEqual(codes.count(b"1000"), 1)
+                self.assertEqual(len(whole.backend.heads), 2)
+                await asyncio.gather(*(daemon.stop() for daemon in whole.daemons))
+
+        self.run_on_loop(work())
+
+    def test_leaving_entry_serves_on_and_its_outcomes_are_found(self) -> None:
+        """An entry is replaced while callers still have it in their look-ups.
+
+        It gives its targets away and goes on answering through the new owners. After its exit a
+        booking it ran is repeated elsewhere, and is answered from what it left in the store.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=2) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                request = await whole.booking(1, b"abcdefgh")
+                self.assertEqual((await whole.ask(request)).body, b"whole")
+                stop = asyncio.ensure_future(whole.daemon.stop())
+                await eventually(lambda: not whole.daemon.is_ready())
+                found = json.loads((await whole.get(b"/v1/lookup?service=times")).body)
+                self.assertEqual([e["id"] for e in found["entries"]], ["entry-2"])
+                for path in (b"/times/a", b"/times/b"):
+                    self.assertEqual((await whole.get(path)).body, b"whole")
+                await stop
+                ran = len(whole.backend.heads)
+                await eventually(lambda: whole.daemons[1].members() == 1)
+                again = await whole.ask(request, 2)
+                self.assertEqual((again.status, again.body), (200, b"whole"))
+                self.assertEqual(len(whole.backend.heads), ran)
+                await whole.daemons[1].stop()
+
+        self.run_on_loop(work())
