--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import random
 import secrets
@@ -53,7 +54,7 @@
         from twisted.internet import reactor
 
         self._reactor = cast(Any, reactor)
-        self._settings = settings
+        self.settings = settings
         self._incarnation = secrets.token_hex(8)
         self._clock = NodeClock(monotonic=self._reactor.seconds)
         self.store = HttpObjectStore(settings.platform)
@@ -69,17 +70,17 @@
         self._metrics: Metrics = NullMetrics()
         if settings.statsd is not None:
             self._metrics = StatsdMetrics(settings.statsd)
-        self._node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
-        self._node.on_core = self._core_made
+        self.node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
+        self.node.on_core = self._core_made
         self._in_force = InForce(
-            {POLICY_NAME: self._node.policy_stored, PLAN_NAME: self._node.plan_stored}
+            {POLICY_NAME: self.node.policy_stored, PLAN_NAME: self.node.plan_stored}
         )
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
             NotReady(),
-            self._node.look_up,
-            self._node,
+            self.node.look_up,
+            self.node,
             self._metrics,
             ServerSettings(self._incarnation, settings.limits),
         )
@@ -88,7 +89,7 @@
 
     async def start(self) -> None:
         """Listen, and begin to follow the policy."""
-        settings = self._settings
+        settings = self.settings
         ports = self._server.listen(settings.host, settings.caller_port, settings.forward_port)
         self._caller_port, self._forward_port = ports
         for name in (POLICY_NAME, PLAN_NAME):
@@ -107,19 +108,24 @@
 
     def is_ready(self) -> bool:
         """Return whether callers may come."""
-        return self._node.is_ready()
+        return self.node.is_ready()
+
+    def members(self) -> int:
+        """Return how many live entries this one sees, itself included."""
+        return len(self.node.view.by_id)
 
     def policy_version(self) -> int:
         """Return the version in force, 0 if there is none."""
-        return self._node.policy.version if self._node.policy is not None else 0
+        return self.node.policy.version if self.node.policy is not None else 0
 
     async def stop(self) -> None:
         """End in order; see :class:`GracefulStop`."""
-        await GracefulStop(self, self._clock.monotonic, self._settings.drain_grace_s).run()
+        await GracefulStop(self, self._clock.monotonic, self.settings.drain_grace_s).run()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._peer_server is not None:
+        if self._peering is not None and self._peer_server is not None:
+            self._peering.stop()
             await self._peer_server.close()
         self._peers.close()
         await self._vms.close()
@@ -131,14 +137,14 @@
     def leave(self) -> None:
         """Leave look-ups and hand the targets over."""
         self._left_at = self._clock.monotonic()
-        self._node.leaving = True
+        self.node.leaving = True
         if self._peering is not None:
             self._peering.leave()
 
     def lookups_lapse_at(self) -> float:
         """Return when the last look-up that may name this entry has lapsed."""
-        spread = LEAVE_SPREAD_PROBES * self._settings.probe_interval_s
-        policy = self._node.policy
+        spread = LEAVE_SPREAD_PROBES * self.settings.probe_interval_s
+        policy = self.node.policy
         return self._left_at + spread + policy.lookup_lifetime if policy else self._left_at
 
     def open_requests(self) -> int:
@@ -151,7 +157,7 @@
 
     async def write_outcomes(self) -> None:
         """Leave what became of this entry's keys in the store."""
-        core = self._node.core
+        core = self.node.core
         if core is None:
             return
         pages = outcomes_of(core.keys)
@@ -179,8 +185,8 @@
         """Carry requests from now on."""
         claims = Claims(self.store, self._incarnation, secrets.token_urlsafe)
         settings = CarrySettings(
-            self._settings.entry_id,
-            self._settings.limits.remembered_answer_bytes,
+            self.settings.entry_id,
+            self.settings.limits.remembered_answer_bytes,
             self._connections_of,
             self._clock.wall,
         )
@@ -189,25 +195,30 @@
             self._client,
             self._reactor,
             ObjectKeyStore(self.store, claims),
-            self._node,
+            self.node,
             settings,
-            self._node.pacing,
+            self.node.pacing,
         )
-        self._node.on_actions = self._carrier.carry_out
+        self.node.on_actions = self._carrier.carry_out
+        # A full collection walks every object, those of the imported modules above all, and all
+        # callers wait meanwhile. What is alive by now lives as long as the process, so it is left
+        # out from here on.
+        gc.collect()
+        gc.freeze()
         self._server.arrivals = self._carrier
         self._peering = self._make_peering(core)
         self._peering.show_view()
         self._peer_server = PeerServer(self._peering)
-        self._start(self._peer_server.start(self._settings.host, self._settings.peer_port))
+        self._start(self._peer_server.start(self.settings.host, self.settings.peer_port))
         self._start(self._peering.run())
         self._start(self._peering.follow_list())
 
     def _make_peering(self, core: Core) -> Peering:
-        settings = self._settings
+        settings = self.settings
         me = Member(
             member_id=settings.entry_id,
             incarnation=self._incarnation,
-            region=self._node.region,
+            region=self.node.region,
             zone=settings.zone,
             host=settings.host,
             caller_port=self._caller_port,
@@ -221,15 +232,15 @@
             in_force=self._in_force,
             client=self._peers,
             vms=self._vms,
-            on_view=self._node.view_changed,
-            load=self._node.load_report,
+            on_view=self.node.view_changed,
+            load=self.node.load_report,
             clock=self._clock.monotonic,
             rng=self._rng,
             times=PeeringTimes(period=settings.probe_interval_s),
         )
 
     def _connections_of(self, target_id: str) -> int:
-        policy = self._node.policy
+        policy = self.node.policy
         target = policy.targets_by_id.get(target_id) if policy is not None else None
         return target.connections if target is not None else DEFAULT_CONNECTIONS
 
