--- /dev/null
+++ b/tests/coord/test_lease.py
@@ -0,0 +1,243 @@
+"""Tests of the lease: one holder at a time, and a paused one gets no write in."""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import Callable
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from briarspur.coord.envelope import Envelope, open_envelope
+from briarspur.coord.invariants import invariants
+from briarspur.coord.lease import FencedOff, FencedWriter, Lease, NotHeld
+from briarspur.coord.memorystore import MemoryStore, StoreFault
+from briarspur.coord.writer import ConditionalWriter, Written
+
+DURATION = 6.0
+MARGIN = 1.5
+
+
+class Holder:
+    """One process that contends for the lease; ``lag`` seconds were lost while it was suspended."""
+
+    def __init__(self, name: str, store: MemoryStore, clock: Callable[[], float]) -> None:
+        self.name = name
+        self.lag = 0.0
+        tokens = itertools.count()
+        self.clock = lambda: clock() - self.lag
+        writer = ConditionalWriter(store, lambda: f"{name}{next(tokens)}", tries=2, pause=0.0)
+        self.lease = Lease(
+            store, "steer", name, DURATION, ("plan",), self.clock, writer, margin=MARGIN
+        )
+        self.plan = FencedWriter(self.lease, "plan", writer)
+        self.tasks: list[asyncio.Task[object]] = []
+
+    def held(self) -> bool:
+        return self.lease.held(self.clock())
+
+
+def envelope(store: MemoryStore, name: str) -> Envelope | None:
+    found = store.peek(name)
+    return open_envelope(found.value).ok if found else None
+
+
+class LeaseTest(unittest.IsolatedAsyncioTestCase):
+    """Stories of a lease and its holders."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+        self.now = 0.0
+        self.store = MemoryStore()
+        self.a = Holder("a", self.store, lambda: self.now)
+        self.b = Holder("b", self.store, lambda: self.now)
+
+    async def take(self, holder: Holder) -> None:
+        await holder.lease.step()
+        self.now += DURATION + MARGIN
+        self.assertTrue(await holder.lease.step())
+
+    async def test_holder_renews_and_the_other_stands_by(self) -> None:
+        await self.take(self.a)
+        for _ in range(10):
+            self.now += 2.0
+            self.assertTrue(await self.a.lease.step())
+            self.assertFalse(await self.b.lease.step())
+        self.assertEqual(self.a.lease.term, 1)
+
+    async def test_dead_holder_is_followed_under_a_higher_term(self) -> None:
+        await self.take(self.a)
+        await self.take(self.b)
+        self.assertFalse(self.a.held())
+        self.assertEqual(self.b.lease.term, 2)
+
+    async def test_paused_holder_gets_no_write_in(self) -> None:
+        """Traffic moves twice: a plan of a paused planner lands on top of its successor's.
+
+        The holder checks its lease, is suspended with its write on the way, and its clock stands
+        still. The successor takes over. The holder resumes and believes that it holds the lease.
+        """
+        await self.take(self.a)
+        self.store.held = True
+        write = asyncio.create_task(self.a.plan.write("late", self.a.clock()))
+        await asyncio.sleep(0)
+        [late] = self.store.held_calls
+        self.store.held = False
+        await self.take(self.b)
+        self.a.lag = DURATION + MARGIN + 1.0
+        self.assertTrue(self.a.held())
+        late.release()
+        self.assertEqual(await write, FencedOff(2))
+        self.assertIsInstance(await self.a.plan.write("again", self.a.clock()), NotHeld)
+        self.assertIsInstance(await self.b.plan.write("next", self.now), Written)
+
+    async def test_write_on_the_way_when_the_lease_changes_hands(self) -> None:
+        """As above, but the late write arrives just when the lease object changes hands."""
+        await self.take(self.a)
+        self.store.held = True
+        write = asyncio.create_task(self.a.plan.write("late", self.now))
+        await asyncio.sleep(0)
+        late = self.store.held_calls[0]
+        self.now += DURATION + MARGIN
+        self.store.held = False
+        await self.b.lease.step()
+        self.now += DURATION + MARGIN
+        self.store.held = True
+        step = asyncio.create_task(self.b.lease.step())
+        while not step.done():
+            await asyncio.sleep(0)
+            for call in [call for call in self.store.held_calls if call is not late]:
+                call.release()
+                lease = envelope(self.store, "leases/steer")
+                if lease is not None and lease.term == 2:
+                    late.release()
+        self.store.held = False
+        late.release()
+        self.assertIsInstance(await write, FencedOff)
+
+    async def test_released_lease_is_taken_at_once(self) -> None:
+        await self.take(self.a)
+        await self.a.lease.release()
+        self.assertTrue(await self.b.lease.step())
+
+    async def test_outage_lets_the_lease_run_out(self) -> None:
+        await self.take(self.a)
+        self.store.stop()
+        self.now += DURATION
+        self.assertFalse(await self.a.lease.step())
+        self.store.start()
+        self.assertTrue(await self.a.lease.step())
+
+    async def test_lost_answers_cost_no_lease(self) -> None:
+        await self.take(self.a)
+        for fault in (StoreFault.LOST_ANSWER, StoreFault.LOST_REQUEST):
+            self.store.fail_next(fault)
+            self.now += 4.0
+            self.assertTrue(await self.a.lease.step())
+            self.store.fail_next(fault)
+            self.assertIsInstance(await self.a.plan.write(fault.name, self.now), Written)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three contenders whose store calls take effect in any order, late, lost or doubled.
+
+    A process is paused by leaving its calls held, and suspended with its clock by ``suspend``.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        invariants.strict = True
+        self.loop = asyncio.new_event_loop()
+        self.now = 0.0
+        self.suspended = False
+        self.store = MemoryStore()
+        self.store.held = True
+        self.holders = [Holder(name, self.store, lambda: self.now) for name in "abc"]
+        self.last_plan: Envelope | None = None
+        self.writers_by_term: dict[int, set[str]] = {}
+
+    def teardown(self) -> None:
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.settle()
+        self.loop.close()
+
+    def settle(self) -> None:
+        for _ in range(8):
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    def start(self, holder: Holder, run: Callable[[], object]) -> None:
+        holder.tasks = [task for task in holder.tasks if not task.done()]
+        holder.tasks.append(self.loop.create_task(run()))  # type: ignore[arg-type]
+        self.settle()
+
+    @rule(n=st.integers(0, 2))
+    def step(self, n: int) -> None:
+        holder = self.holders[n]
+        names = {task.get_name() for task in holder.tasks if not task.done()}
+        if "step" not in names:
+            self.start(holder, holder.lease.step)
+            holder.tasks[-1].set_name("step")
+
+    @rule(n=st.integers(0, 2))
+    def write(self, n: int) -> None:
+        holder = self.holders[n]
+        names = {task.get_name() for task in holder.tasks if not task.done()}
+        if holder.held() and "write" not in names:
+            self.start(holder, lambda: holder.plan.write(f"by {holder.name}", holder.clock()))
+            holder.tasks[-1].set_name("write")
+
+    @rule(seconds=st.sampled_from([0.5, 2.0, DURATION, DURATION + MARGIN]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(n=st.integers(0, 2), seconds=st.sampled_from([2.0, 20.0]))
+    def suspend(self, n: int, seconds: float) -> None:
+        self.suspended = True
+        self.now += seconds
+        self.holders[n].lag += seconds
+
+    @precondition(lambda self: self.store.held_calls)
+    @rule(data=st.data(), fault=st.sampled_from([None, None, None, *StoreFault]))
+    def release(self, data: st.DataObject, fault: StoreFault | None) -> None:
+        calls = self.store.held_calls
+        lease = envelope(self.store, "leases/steer")
+        calls[data.draw(st.integers(0, len(calls) - 1))].release(fault)
+        self.settle()
+        self.check_plan(lease)
+
+    @precondition(lambda self: self.store.held_calls)
+    @rule(n=st.integers(0, 2), rounds=st.integers(2, 12))
+    def run(self, n: int, rounds: int) -> None:
+        """Let one process take its step without interruption, so that leases are often held."""
+        self.step(n)
+        for _ in range(rounds):
+            if not self.store.held_calls:
+                return
+            lease = envelope(self.store, "leases/steer")
+            self.store.held_calls[-1].release()
+            self.settle()
+            self.check_plan(lease)
+
+    def check_plan(self, lease: Envelope | None) -> None:
+        plan = envelope(self.store, "plan")
+        if plan is None or plan == self.last_plan:
+            return
+        assert lease is None or plan.term >= lease.term, "a write came after its successor's lease"
+        assert self.last_plan is None or plan.term >= self.last_plan.term
+        self.last_plan = plan
+        writers = self.writers_by_term.setdefault(plan.term, set())
+        writers.add(plan.token[0])
+        assert len(writers) == 1, "two processes wrote under one term"
+
+    @invariant()
+    def one_holder(self) -> None:
+        if not self.suspended:
+            assert sum(holder.held() for holder in self.holders) <= 1
+
+
+LeaseMachineTest = LeaseMachine.TestCase
+LeaseMachineTest.settings = settings(
+    derandomize=True, deadline=None, database=None, max_examples=120, stateful_step_count=60
+)
