--- a/tests/coord/test_lease.py
+++ b/tests/coord/test_lease.py
@@ -129,6 +129,29 @@
         self.store.start()
         self.assertTrue(await self.a.lease.step())
 
+    async def test_lease_counts_from_before_the_renewal_was_sent(self) -> None:
+        """Two planners act at once: the renewal took 3 s, and the holder counts from its answer."""
+        await self.take(self.a)
+        self.now += 2.0
+        self.store.held = True
+        step = asyncio.create_task(self.a.lease.step())
+        await asyncio.sleep(0)
+        self.now += 3.0
+        self.store.held_calls[0].release()
+        self.assertTrue(await step)
+        self.now += DURATION - 3.0
+        self.assertFalse(self.a.held())
+
+    async def test_late_renewal_does_not_revive_a_lease_given_up(self) -> None:
+        """A holder that was fenced off renews on, writes nothing, and nobody else may plan."""
+        await self.take(self.a)
+        self.store.held = True
+        step = asyncio.create_task(self.a.lease.step())
+        await asyncio.sleep(0)
+        self.a.lease.give_up()
+        self.store.held_calls[0].release()
+        self.assertFalse(await step)
+
     async def test_lost_answers_cost_no_lease(self) -> None:
         await self.take(self.a)
         for fault in (StoreFault.LOST_ANSWER, StoreFault.LOST_REQUEST):
