Follow objects by watchers of rank in each zone, and spread versions by peers

A watch by each of 1,700 processes would be more calls than the store answers after an outage. In each zone two members of the best ranks watch; the others get versions by push and from the versions in heartbeats, and each reads the store now and then, so that silent watches go unnoticed for seconds only.

--- /dev/null
+++ b/briarspur/follow.py
@@ -0,0 +1,228 @@
+"""Keeps the followed objects in force: from the store by turns, and from and to other entries."""
+
+import asyncio
+import hashlib
+import logging
+import random
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from typing import Any, Protocol
+
+from briarspur import logs
+from briarspur.coord.errors import StoreError, StoreThrottledError
+from briarspur.coord.follower import Follower, Taken
+from briarspur.coord.store import ObjectStore, StoredObject
+from briarspur.errors import PeerError
+from briarspur.gossip import ObjectCopy, ObjectVersion
+from briarspur.spread import CallKind, Readiness, Spread, SpreadTimes, Turn
+
+__all__ = ["Follow", "ObjectPeers"]
+
+PUSH_BYTES = 65_536
+"""Larger objects are not pushed; peers fetch them once, when they hear of the version."""
+IDLE_PAUSE = 0.2
+"""Least time between two calls that brought nothing new, should the store answer at once."""
+
+
+class ObjectPeers(Protocol):
+    """Other entries, by id; a call raises :class:`~briarspur.errors.PeerError` if it fails."""
+
+    async def fetch(self, entry: str, name: str, newer_than: int) -> ObjectCopy | None:
+        """Return the object if its version in force there is above ``newer_than``."""
+
+    async def offer(self, entry: str, copy: ObjectCopy) -> int:
+        """Hand an object over; return the version in force there afterwards."""
+
+
+class Follow:
+    """Follows objects for one entry; a context manager whose end stops it.
+
+    Parameters
+    ----------
+    me, zone : str
+        This entry's id and availability zone.
+    store : ObjectStore
+    peers : ObjectPeers
+    followers : sequence of Follower
+        One for each object.
+    rng : random.Random
+        Of its own in each process, or all would call at one moment.
+    sleep : callable
+        Waits for seconds; replaced in tests.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        zone: str,
+        store: ObjectStore,
+        peers: ObjectPeers,
+        followers: Sequence[Follower[Any]],
+        rng: random.Random,
+        times: SpreadTimes | None = None,
+        sleep: Callable[[float], Coroutine[Any, Any, None]] = asyncio.sleep,
+    ) -> None:
+        self._times = times or SpreadTimes()
+        self._spread = Spread(me, zone, len(followers), rng, self._times)
+        self._store = store
+        self._peers = peers
+        self._followers_by_name = {follower.name: follower for follower in followers}
+        self._readiness_by_name = {f.name: Readiness(self._times) for f in followers}
+        self._wanted_by_name: dict[str, dict[str, int]] = {f.name: {} for f in followers}
+        self._sleep = sleep
+        self._peer_count = 0
+        self._members_changed = asyncio.Event()
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> "Follow":
+        for follower in self._followers_by_name.values():
+            self._start(self._follow(follower))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def members_changed(self, zones_by_member: Mapping[str, str]) -> None:
+        """Take the live entries and their zones."""
+        self._spread.members_changed(zones_by_member)
+        self._peer_count = len(zones_by_member.keys() - {self._spread.me})
+        gone = self._members_changed
+        self._members_changed = asyncio.Event()
+        gone.set()
+
+    def is_ready(self, name: str) -> bool:
+        """Whether the version in force may be served by; see :class:`Readiness`."""
+        follower = self._followers_by_name[name]
+        wanted = any(follower.wants(version) for version in self._wanted_by_name[name].values())
+        return self._readiness_by_name[name].is_ready(follower.version, wanted, self._peer_count)
+
+    def versions(self) -> tuple[ObjectVersion, ...]:
+        """Return the versions in force, for the heartbeats."""
+        return tuple(
+            ObjectVersion(follower.name, follower.version, follower.digest)
+            for follower in self._followers_by_name.values()
+            if follower.stored is not None
+        )
+
+    def copy(self, name: str, newer_than: int) -> ObjectCopy | None:
+        """Return an object for a peer that fetches it, if ours is newer."""
+        follower = self._followers_by_name.get(name)
+        if follower is None or follower.stored is None or follower.version <= newer_than:
+            return None
+        return ObjectCopy(name, follower.version, follower.digest, follower.stored.value)
+
+    def offered(self, copy: ObjectCopy) -> int:
+        """Take a copy from a peer, if it is whole; return the version in force then."""
+        follower = self._followers_by_name.get(copy.name)
+        if follower is None:
+            return 0
+        if hashlib.sha256(copy.value).digest() == copy.digest:
+            self._take(follower, StoredObject(copy.name, copy.version, copy.value))
+        return follower.version
+
+    def heard(self, sender: str, versions: Sequence[ObjectVersion]) -> None:
+        """Note the versions in force at a peer; fetch what is newer, hand over what is older."""
+        for seen in versions:
+            follower = self._followers_by_name.get(seen.name)
+            if follower is None:
+                continue
+            self._readiness_by_name[seen.name].versions_by_peer[sender] = seen.version
+            if follower.wants(seen.version):
+                self._wanted_by_name[seen.name][sender] = seen.version
+                self._start_fetch(follower, sender)
+
+    async def _follow(self, follower: Follower[Any]) -> None:
+        last: CallKind | None = None
+        failures = 0
+        while True:
+            turn = self._spread.turn(follower.name, follower.stored is not None, last, failures)
+            if not await self._wait_for(turn, follower.name):
+                continue
+            try:
+                found = await self._call(follower, turn.kind)
+            except StoreError as error:
+                failures += 1
+                await self._failed(follower, error)
+                continue
+            failures = 0
+            self._readiness_by_name[follower.name].store_failed = False
+            brought = found is not None and self._take(follower, found) is Taken.IN_FORCE
+            last = None if brought else turn.kind
+            if not brought:
+                await self._sleep(IDLE_PAUSE)
+
+    async def _wait_for(self, turn: Turn, name: str) -> bool:
+        """Wait for the turn; return False if this process became a watcher meanwhile."""
+        if not turn.pause:
+            return True
+        watched = self._spread.watches(name)
+        pause = asyncio.ensure_future(self._sleep(turn.pause))
+        try:
+            while not pause.done():
+                changed = asyncio.ensure_future(self._members_changed.wait())
+                await asyncio.wait([changed, pause], return_when=asyncio.FIRST_COMPLETED)
+                changed.cancel()
+                if self._spread.watches(name) and not watched:
+                    return False
+            return True
+        finally:
+            pause.cancel()
+
+    async def _call(self, follower: Follower[Any], kind: CallKind) -> StoredObject | None:
+        if kind is CallKind.WATCH:
+            newer_than = follower.seen_version
+            return await self._store.watch(follower.name, newer_than, self._times.watch_wait)
+        found = await self._store.get(follower.name)
+        self._readiness_by_name[follower.name].store_answered = True
+        return found
+
+    async def _failed(self, follower: Follower[Any], error: StoreError) -> None:
+        self._readiness_by_name[follower.name].store_failed = True
+        logs.event("store-unavailable", logging.WARNING, object=follower.name, error=str(error))
+        if isinstance(error, StoreThrottledError):
+            await self._sleep(error.retry_after)
+
+    def _take(self, follower: Follower[Any], stored: StoredObject) -> Taken:
+        taken = follower.take(stored)
+        if taken is not Taken.IN_FORCE:
+            return taken
+        wanted = self._wanted_by_name[follower.name]
+        for peer in [peer for peer, version in wanted.items() if not follower.wants(version)]:
+            del wanted[peer]
+        copy = self.copy(follower.name, 0)
+        if copy is not None and len(copy.value) <= PUSH_BYTES:
+            for peer in self._spread.tell():
+                self._start(self._offer(peer, copy))
+        return taken
+
+    async def _offer(self, peer: str, copy: ObjectCopy) -> None:
+        try:
+            await self._peers.offer(peer, copy)
+        except PeerError as error:
+            # The peer hears of the version with the next heartbeat and fetches it.
+            logs.event("peer-unavailable", logging.DEBUG, object=copy.name, error=str(error))
+
+    def _start_fetch(self, follower: Follower[Any], sender: str) -> None:
+        if follower.name not in self._fetching:
+            self._fetching.add(follower.name)
+            self._start(self._fetch(follower, sender))
+
+    async def _fetch(self, follower: Follower[Any], sender: str) -> None:
+        try:
+            copy = await self._peers.fetch(sender, follower.name, follower.version)
+            if copy is not None:
+                self.offered(copy)
+        except PeerError as error:
+            logs.event("peer-unavailable", logging.DEBUG, object=follower.name, error=str(error))
+        finally:
+            self._fetching.discard(follower.name)
+            # A peer that cannot be fetched from must not keep a fresh process from being ready.
+            self._wanted_by_name[follower.name].pop(sender, None)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,227 @@
+"""Stories of a configuration that is in force everywhere within seconds, and never reverts."""
+
+import asyncio
+import logging
+import random
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from expression import Ok, Result
+
+from briarspur.coord.follower import Follower
+from briarspur.coord.invariants import invariants
+from briarspur.coord.memorystore import MemoryStore
+from briarspur.coord.store import StoredObject
+from briarspur.errors import PeerError
+from briarspur.follow import Follow
+from briarspur.gossip import ObjectCopy
+from tests.virtualtime import run_virtual
+
+ZONES = ("north-a", "north-b", "south-a")
+IN_FORCE_WITHIN = 18.0
+
+
+def read(stored: StoredObject) -> Result[bytes, str]:
+    return Ok(stored.value)
+
+
+class Fleet:
+    """Entries that reach one another in memory and probe one random peer each second."""
+
+    def __init__(self, count: int) -> None:
+        self.rng = random.Random(3)
+        self.store = MemoryStore()
+        self.pushes_fail = False
+        self.zones = {f"e{n}": ZONES[n % 3] for n in range(count)}
+        self.follows: dict[str, Follow] = {}
+        self.followers: dict[str, Follower[bytes]] = {}
+        self.paused: set[str] = set()
+        self.deaf: set[str] = set()
+
+    async def fetch(self, entry: str, name: str, newer_than: int) -> ObjectCopy | None:
+        await asyncio.sleep(0.01)
+        if entry in self.paused or entry not in self.follows:
+            raise PeerError(entry)
+        return self.follows[entry].copy(name, newer_than)
+
+    async def offer(self, entry: str, copy: ObjectCopy) -> int:
+        await asyncio.sleep(0.01)
+        if self.pushes_fail or entry in self.paused or entry not in self.follows:
+            raise PeerError(entry)
+        return self.follows[entry].offered(copy)
+
+    async def add(self, me: str) -> Follow:
+        self.followers[me] = Follower("policy", read)
+        store = DeafStore(self.store, lambda: me in self.deaf)
+        follow = Follow(
+            me, self.zones[me], store, self, [self.followers[me]], random.Random(hash_of(me))
+        )
+        follow.members_changed(self.zones)
+        self.follows[me] = await follow.__aenter__()
+        return follow
+
+    async def remove(self, me: str) -> None:
+        del self.zones[me]
+        await self.follows.pop(me).__aexit__()
+        del self.followers[me]
+        for follow in self.follows.values():
+            follow.members_changed(self.zones)
+
+    async def probe(self) -> None:
+        while True:
+            for me, follow in list(self.follows.items()):
+                peer = self.rng.choice(list(self.follows))
+                if peer != me and not {me, peer} & self.paused:
+                    follow.heard(peer, self.follows[peer].versions())
+                    self.follows[peer].heard(me, follow.versions())
+            await asyncio.sleep(1.0)
+
+    def versions(self) -> set[int]:
+        return {f.version for me, f in self.followers.items() if me not in self.paused}
+
+    async def reaches(self, version: int, within: float = IN_FORCE_WITHIN) -> float:
+        start = asyncio.get_running_loop().time()
+        while self.versions() != {version}:
+            spent = asyncio.get_running_loop().time() - start
+            assert spent <= within, (version, self.versions())
+            await asyncio.sleep(0.1)
+        return asyncio.get_running_loop().time() - start
+
+
+class DeafStore(MemoryStore):
+    """One process's way to the store; while deaf, its watches never see a change."""
+
+    def __init__(self, store: MemoryStore, deaf: Callable[[], bool]) -> None:
+        super().__init__()
+        self.store = store
+        self.is_deaf = deaf
+
+    async def get(self, name: str) -> StoredObject | None:
+        return await self.store.get(name)
+
+    async def watch(self, name: str, newer_than: int, wait: float) -> StoredObject | None:
+        found = await self.store.watch(name, newer_than, wait)
+        return None if self.is_deaf() else found
+
+
+def hash_of(me: str) -> int:
+    return int(me[1:])
+
+
+class FollowTest(unittest.TestCase):
+    """Thirty entries in three zones."""
+
+    def run_fleet(self, story: Callable[[Fleet], Coroutine[Any, Any, None]]) -> None:
+        invariants.strict = True
+        logging.getLogger("briarspur").setLevel(logging.ERROR)
+
+        async def run() -> None:
+            fleet = Fleet(30)
+            probes = asyncio.create_task(fleet.probe())
+            await fleet.store.put("policy", b"first", 0)
+            for me in list(fleet.zones):
+                await fleet.add(me)
+            await fleet.reaches(1)
+            await story(fleet)
+            probes.cancel()
+            for me in list(fleet.follows):
+                await fleet.remove(me)
+
+        run_virtual(run())
+
+    def test_change_is_in_force_everywhere(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            await asyncio.sleep(30.0)
+            fleet.store.calls_by_kind.clear()
+            await asyncio.sleep(60.0)
+            calls = sum(fleet.store.calls_by_kind.values())
+            self.assertLess(calls / 60.0 / len(ZONES), 0.8)
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2, within=5.0)
+
+        self.run_fleet(story)
+
+    def test_watches_are_lost_silently(self) -> None:
+        """Operators drain a target and half the fleet never hears: the watches hang, no error."""
+
+        async def story(fleet: Fleet) -> None:
+            fleet.deaf.update(fleet.follows)
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2)
+
+        self.run_fleet(story)
+
+    def test_watchers_are_paused(self) -> None:
+        """All watchers of a zone are suspended; membership still counts them as live."""
+
+        async def story(fleet: Fleet) -> None:
+            for me, follow in fleet.follows.items():
+                if follow._spread.watches("policy"):
+                    fleet.paused.add(me)
+                    fleet.deaf.add(me)
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2)
+
+        self.run_fleet(story)
+
+    def test_pushes_are_lost(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.pushes_fail = True
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2)
+
+        self.run_fleet(story)
+
+    def test_stale_reads_revert_nothing(self) -> None:
+        """A drain is undone without an operator: reads of the store show the past."""
+
+        async def story(fleet: Fleet) -> None:
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2)
+            fleet.store.stale_by = 1
+            await asyncio.sleep(120.0)
+            self.assertEqual(fleet.versions(), {2})
+
+        self.run_fleet(story)
+
+    def test_half_the_members_are_replaced_during_a_change(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            await fleet.store.put("policy", b"second", 1)
+            for n in range(15):
+                await fleet.remove(f"e{n}")
+                fleet.zones[f"e{n + 30}"] = ZONES[n % 3]
+                await fleet.add(f"e{n + 30}")
+                for follow in fleet.follows.values():
+                    follow.members_changed(fleet.zones)
+                await asyncio.sleep(0.1)
+            await fleet.reaches(2)
+
+        self.run_fleet(story)
+
+    def test_fresh_process_in_an_outage(self) -> None:
+        """A replaced VM would serve by nothing, or by what one lagging peer has."""
+
+        async def story(fleet: Fleet) -> None:
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2)
+            fleet.store.stop()
+            fleet.zones["e30"] = ZONES[0]
+            fresh = await fleet.add("e30")
+            self.assertFalse(fresh.is_ready("policy"))
+            await fleet.reaches(2)
+            await asyncio.sleep(5.0)
+            self.assertTrue(fresh.is_ready("policy"))
+            self.assertEqual(fleet.followers["e30"].value, b"second")
+
+        self.run_fleet(story)
+
+    def test_outage_of_ten_minutes(self) -> None:
+        async def story(fleet: Fleet) -> None:
+            fleet.store.stop()
+            await asyncio.sleep(600.0)
+            fleet.store.start()
+            await fleet.store.put("policy", b"second", 1)
+            await fleet.reaches(2)
+
+        self.run_fleet(story)
