--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -15,6 +15,12 @@
 EVENTS: dict[str, str] = {
     "started": "the daemon listens",
     "stopping": "a graceful stop began",
+    "stop-leaving": "the entry left look-ups and handed its targets over, and serves on",
+    "stop-finishing": "cached look-ups have lapsed; requests in flight are being finished",
+    "outcomes-written": "what became of this entry's keys is in the store",
+    "outcomes-lost": "the store did not take the outcomes; repeats will be told `unknown`",
+    "peer-unavailable": "an object could not be fetched from another entry",
+    "store-unavailable": "an object could not be read; what is in force stays",
     "stopped": "the daemon has ended what it had in flight",
     "settings-invalid": "the settings file is not valid",
     "policy-in-force": "a version of the policy came into force",
@@ -27,6 +33,10 @@
     "plan-rejected": "the plan in the store is not valid and was not taken",
     "refused": "a request got a final answer of our own",
     "failed": "a request ended without a whole answer",
+    "levels-not-collected": "service-level counts of a minute could not be collected",
+    "levels-not-written": "service-level counts wait because the store does not take them",
+    "change-accepted": "an operator's change of the policy is in force in the store",
+    "change-refused": "an operator's change was not taken: a conflict, a fault or no token",
     "invariant-violated": "a property that must always hold did not hold",
     "internal-error": "a fault of briarspur",
 }
