Report an edit as unsettled when the store fails while its lost answer is settled

Found by a randomised race of operators over a store that loses answers, lags and refuses: a write's answer was lost, the write had taken effect, another followed it, and the store refused the read of the history that would have told. That refusal was passed on as "nothing was written". The conflict itself and reads of the policy were ruled out: both are repeated.

--- a/briarspur/repository.py
+++ b/briarspur/repository.py
@@ -107,11 +107,18 @@
         try:
             version = await self._put(value, expected_version, draft.token)
         except StoreConflictError as error:
-            return Error(Raced(await self._read_at_least(error.current_version)))
+            return Error(Raced(await self._read_winner(error.current_version)))
         await self._keep(version, value)
         await self._retention.added({expected_version, version} - {ABSENT})
         return Ok(decode_revision(value, version))
 
+    async def _read_winner(self, version: int) -> Revision | None:
+        """Read the revision that came first; a failure must not make our own write look unclear."""
+        try:
+            return await self._read_at_least(version)
+        except StoreUnclearError as error:
+            raise StoreUnavailableError(f"conflict with version {version}; {error}") from error
+
     async def _complete_history(self, expected_version: int) -> None:
         """Store the revision that is about to be overwritten, if its author did not get to it.
 
@@ -187,8 +194,12 @@
     ) -> int | None:
         """Return the version that our write made; None if another write came first."""
         found = await self._read_at_least(conflict.current_version)
-        while found is not None and found.previous > expected_version:
-            found = await self._kept(found.previous)
+        try:
+            while found is not None and found.previous > expected_version:
+                found = await self._kept(found.previous)
+        except StoreUnavailableError as error:
+            # Passed on as it is, it would say that nothing was written.
+            raise StoreUnclearError(f"{POLICY_NAME}: not settled: {error}") from error
         if found is None:
             raise StoreUnclearError(f"{POLICY_NAME}: the history has a gap; ask for it again")
         # The revision that replaced the expected one decides: ours came first or never.
