Give the filters a module of their own; dispatch nothing past its deadline

An entry that was paused dispatched what it found in its queue before it looked at the deadlines: the new test saw a booking sent 98 s late.

--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -1,8 +1,6 @@
 """The decision core of an entry: events in, actions out, without I/O, clock or chance of its own.
 
-A request passes the filters in this order: classify, deduplicate, quarantine, choose region, place
-(admit and choose target), send. What comes back decides between the whole answer, another attempt
-and a final refusal.
+Each method is one event; :mod:`briarspur.pipeline` has the filters that a request passes.
 """
 
 import random
@@ -13,31 +11,19 @@
 from briarspur.codes import Code
 from briarspur.coord.escrow import Account
 from briarspur.coord.invariants import invariants
-from briarspur.coord.once import KeptAnswer, KeyMemory, NotRunProof
-from briarspur.coord.quarantine import Admission, Quarantine
-from briarspur.dedupe import (
-    AskStore,
-    ClaimKey,
-    Deduplicator,
-    Final,
-    Known,
-    Run,
-    ToHome,
-    WaitForOutcome,
-)
+from briarspur.coord.once import KeyMemory
+from briarspur.coord.quarantine import Quarantine
 from briarspur.exchange import Exchange
 from briarspur.finals import Finals
 from briarspur.inflight import InFlight
-from briarspur.members import MemberView, ViewedMember
+from briarspur.members import MemberView
 from briarspur.messages import (
     Action,
     Answer,
     Begin,
     Cancel,
-    Claim,
     ClaimResult,
     Failure,
-    FetchOutcome,
     Kind,
     Refusal,
     Refuse,
@@ -45,29 +31,15 @@
     Request,
 )
 from briarspur.ownership import OwnerSlots, SlotRule
-from briarspur.placement import Placement, Queued, Refused, ToEntry, ToTarget
+from briarspur.pipeline import Pipeline
+from briarspur.placement import Placement
 from briarspur.policy import Policy
 from briarspur.region import Splits
 from briarspur.routing import Routing
-from briarspur.target import Chooser, LeastInFlight, OwnTarget
-from briarspur.work import Attempt, Classified, Work
+from briarspur.target import Chooser, LeastInFlight
 
 __all__ = ["Core", "CoreSettings"]
 
-MAX_TRIES = 3
-"""Attempts for one request, the first one included."""
-
-REPEATABLE = frozenset({Failure.NOT_SENT, Failure.SHED})
-"""Failures that prove that the attempt ran nothing."""
-
-FINAL_CODE_BY_FAILURE = {
-    Failure.NOT_SENT: Code.OVERLOADED,
-    Failure.SHED: Code.OVERLOADED,
-    Failure.LOST: Code.CONNECTION_LOST,
-    Failure.CUT_SHORT: Code.ANSWER_CUT_SHORT,
-    Failure.DEADLINE: Code.DEADLINE_PASSED,
-}
-
 TICK_S = 0.05
 """Seconds between two looks at what waits."""
 
@@ -142,12 +114,19 @@
             rng,
             self.settings.queue_limit,
         )
-        self._dedupe = Deduplicator(self.keys)
         self._classifier: Classifier | None = None
         self.exchange = Exchange(me, incarnation, self.placement, self.quarantine)
         self.routing = Routing(me, region, self.placement, rng)
         self._inflight = InFlight(region, self.placement, self.quarantine, self.keys)
         self._finals = Finals(self.keys, self.placement)
+        self._pipeline = Pipeline(
+            self.keys,
+            self.quarantine,
+            self.routing,
+            self.placement,
+            self._inflight,
+            self._finals,
+        )
         self._first_assignment = True
 
     # What is in force
@@ -164,7 +143,7 @@
         self.routing.policy_accepted(policy, now)
         self._assign(now)
         out: list[Action] = []
-        self._run_waiting(now, out)
+        self._pipeline.run_waiting(now, out)
         return out
 
     def view_changed(self, view: MemberView, now: float) -> list[Action]:
@@ -172,7 +151,7 @@
         self.view = view
         self._assign(now)
         out: list[Action] = []
-        self._run_waiting(now, out)
+        self._pipeline.run_waiting(now, out)
         return out
 
     def plan_accepted(self, splits: Splits) -> None:
@@ -203,7 +182,7 @@
         item = self._classifier.classify(request, now)
         if item.is_error():
             return [Refuse(request.request_id, item.error)]
-        self._deduplicate(item.ok, now, wall, out)
+        self._pipeline.enter(item.ok, self.view, now, wall, out)
         return out
 
     def _not_ready(self, request: Request) -> Refusal:
@@ -226,88 +205,9 @@
                 out.append(Cancel(work.attempt.attempt_id))
                 self._inflight.end(work, work.attempt)
             self._finals.close(work)
-        self._run_waiting(now, out)
+        self._pipeline.run_waiting(now, out)
         return out
 
-    # Filters
-
-    def _deduplicate(self, item: Classified, now: float, wall: float, out: list[Action]) -> None:
-        step = self._dedupe.arrive(item, self.view, now, wall)
-        request_id = item.request.request_id
-        if isinstance(step, Final):
-            out.append(Refuse(request_id, step.refusal))
-            return
-        if isinstance(step, Known):
-            out.append(Reply(request_id, _answer(step.answer)))
-            return
-        work = Work(item.request, item.service, item.rule, item.home, item.deadline, now)
-        self._finals.open(work)
-        match step:
-            case Run(key=key):
-                work.key = key
-                self.routing.first_attempt(work)
-                self._admit(work, now, out)
-            case ClaimKey(key=key):
-                work.key = key
-                out.append(Claim(request_id, key.text, item.request.body_digest))
-            case ToHome(home=home):
-                self._forward(work, home, now, out, to_home=True)
-            case AskStore(key=key):
-                out.append(FetchOutcome(request_id, key.incarnation or "", key.text))
-            case WaitForOutcome(key=key):
-                pass
-
-    def _admit(self, work: Work, now: float, out: list[Action]) -> None:
-        """Quarantine and deadline, then the choice of a region."""
-        verdict = self.quarantine.admit(work.request.body_digest, now)
-        if verdict is Admission.REFUSE:
-            self._refuse(work, Refusal(Code.QUARANTINED), out)
-            return
-        work.alone = verdict is Admission.RUN_ALONE
-        if now >= work.deadline:
-            self._refuse(work, Refusal(Code.DEADLINE_TOO_SHORT), out)
-            return
-        refusal = self.routing.choose_region(work, now)
-        if refusal is not None:
-            self._refuse(work, refusal, out)
-            return
-        self._place(work, now, out)
-
-    def _place(self, work: Work, now: float, out: list[Action]) -> None:
-        placed = self.routing.place(work, now)
-        match placed:
-            case ToTarget(own=own):
-                self._dispatch(work, own, now, out)
-            case ToEntry(member=member):
-                self._forward(work, member, now, out)
-            case Queued(evicted=evicted):
-                if evicted is not None:
-                    refusal = self.placement.overloaded(evicted.service.name, now)
-                    self._refuse(evicted, refusal, out)
-            case Refused(refusal=refusal):
-                self._refuse(work, refusal, out)
-
-    def _dispatch(self, work: Work, own: OwnTarget, now: float, out: list[Action]) -> None:
-        action = self._inflight.to_target(work, own, now)
-        if action is not None:
-            out.append(action)
-        else:
-            self._refuse(work, self.placement.overloaded(work.service.name, now), out)
-
-    def _forward(
-        self,
-        work: Work,
-        member: ViewedMember,
-        now: float,
-        out: list[Action],
-        to_home: bool = False,
-    ) -> None:
-        action = self._inflight.to_entry(work, member, now, to_home)
-        if action is not None:
-            out.append(action)
-        else:
-            self._refuse(work, self.placement.overloaded(work.service.name, now), out)
-
     # Events of attempts
 
     def answer_began(self, attempt_id: int, status: int, now: float) -> list[Action]:
@@ -330,7 +230,7 @@
         work, attempt = current
         self._inflight.answered(work, attempt, status, now)
         self._finals.answered(work, answer, now, out)
-        self._run_waiting(now, out)
+        self._pipeline.run_waiting(now, out)
         return out
 
     def attempt_failed(
@@ -363,80 +263,10 @@
         work, attempt = current
         work.passed = passed
         self._inflight.failed(work, attempt, failure, crashed, now)
-        proof = _proof(failure, attempt_id)
-        if self._may_retry(work, attempt, failure, resumable, proof, now):
-            self._admit_again(work, now, out)
-        else:
-            self._end_failed(work, attempt, failure, proof, retry_after, now, out)
-        self._run_waiting(now, out)
+        self._pipeline.failed(work, attempt, failure, resumable, retry_after, now, out)
+        self._pipeline.run_waiting(now, out)
         return out
 
-    def _may_retry(
-        self,
-        work: Work,
-        attempt: Attempt,
-        failure: Failure,
-        resumable: bool,
-        proof: NotRunProof | None,
-        now: float,
-    ) -> bool:
-        """Tell whether another attempt is safe, in time and within the budget."""
-        if not work.caller_here or work.tries >= MAX_TRIES or now >= work.deadline:
-            return False
-        if attempt.key_home or (work.passed > 0 and not resumable):
-            return False
-        if work.kind is Kind.ONCE_ONLY and proof is None:
-            # The booking may have run: a second attempt could record it twice.
-            return False
-        if failure is Failure.DEADLINE or not self.routing.take_retry(work):
-            return False
-        return work.key is None or (proof is not None and self.keys.retry(work.key, proof))
-
-    def _refuse(
-        self,
-        work: Work,
-        refusal: Refusal,
-        out: list[Action],
-        proof: NotRunProof | None = None,
-    ) -> None:
-        """End a request that was not run, and say so."""
-        if work.tries == 0 or proof is not None:
-            self.routing.not_sent(work)
-        self._finals.give_up(work, refusal, out, proof)
-
-    def _admit_again(self, work: Work, now: float, out: list[Action]) -> None:
-        verdict = self.quarantine.admit(work.request.body_digest, now)
-        if verdict is Admission.REFUSE:
-            self._refuse(work, Refusal(Code.QUARANTINED), out)
-            return
-        work.alone = verdict is Admission.RUN_ALONE
-        self._place(work, now, out)
-
-    def _end_failed(
-        self,
-        work: Work,
-        attempt: Attempt,
-        failure: Failure,
-        proof: NotRunProof | None,
-        retry_after: float | None,
-        now: float,
-        out: list[Action],
-    ) -> None:
-        """End a request after its last attempt, with what can truly be said of it."""
-        if attempt.key_home:
-            # Whatever became of the copy sent there, only the home knows about the key.
-            refusal = Refusal(Code.HOME_UNREACHABLE, retry_after=1.0)
-            self._finals.finish(work, refusal, out)
-        elif work.kind is Kind.ONCE_ONLY and proof is None:
-            late = failure is Failure.DEADLINE
-            code = Code.DEADLINE_PASSED_AFTER_DISPATCH if late else Code.OUTCOME_UNKNOWN
-            self._finals.unknown(work, Refusal(code), now, out)
-        else:
-            code = FINAL_CODE_BY_FAILURE[failure]
-            if failure in REPEATABLE:
-                retry_after = retry_after or self.placement.retry_after(work.service.name, now)
-            self._refuse(work, Refusal(code, failure.value, retry_after), out, proof)
-
     # Claims and outcomes in the store
 
     def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
@@ -448,12 +278,12 @@
         if result is ClaimResult.OURS:
             self.keys.claimed(work.key)
             self.routing.first_attempt(work)
-            self._admit(work, now, out)
+            self._pipeline.admit(work, now, out)
             return out
         # Another entry holds the claim, or nobody can tell: an earlier copy may have run there.
         taken = result is ClaimResult.TAKEN
         code = Code.HOME_GONE if taken else Code.STORE_UNAVAILABLE
-        self._refuse(work, Refusal(code, retry_after=None if taken else 2.0), out)
+        self._pipeline.refuse(work, Refusal(code, retry_after=None if taken else 2.0), out)
         return out
 
     def outcome_fetched(
@@ -475,9 +305,9 @@
         """Refuse at once what would wait too long, and use what has become free."""
         out: list[Action] = []
         for work in self.placement.hopeless(now):
-            self._refuse(work, self.placement.overloaded(work.service.name, now), out)
+            self._pipeline.refuse(work, self.placement.overloaded(work.service.name, now), out)
         self.keys.expire(now, wall)
-        self._run_waiting(now, out)
+        self._pipeline.run_waiting(now, out)
         return out
 
     def next_wake(self, now: float) -> float | None:
@@ -496,21 +326,3 @@
     def open_requests(self) -> int:
         """Return how many requests have no final answer yet."""
         return len(self._finals)
-
-    def _run_waiting(self, now: float, out: list[Action]) -> None:
-        while (found := self.placement.next_waiting(now)) is not None:
-            work, own = found
-            self._dispatch(work, own, now, out)
-
-
-def _answer(kept: KeptAnswer) -> Answer:
-    return Answer(kept.status, kept.headers, kept.body)
-
-
-def _proof(failure: Failure, attempt_id: int) -> NotRunProof | None:
-    """Return the proof that an attempt ran nothing, if its failure is one."""
-    if failure is Failure.NOT_SENT:
-        return NotRunProof.not_sent(attempt_id)
-    if failure is Failure.SHED:
-        return NotRunProof.shed(attempt_id)
-    return None
--- /dev/null
+++ b/briarspur/pipeline.py
@@ -0,0 +1,274 @@
+"""The filters in their order, from a classified request to an action or a final refusal.
+
+deduplicate -> quarantine -> choose region -> place (admit, choose target) -> send. What an attempt
+brings back leads to the answer, through the filters again, or to the final refusal.
+"""
+
+from briarspur.codes import Code
+from briarspur.coord.once import KeptAnswer, KeyMemory, NotRunProof
+from briarspur.coord.quarantine import Admission, Quarantine
+from briarspur.dedupe import (
+    AskStore,
+    ClaimKey,
+    Deduplicator,
+    Final,
+    Known,
+    Run,
+    ToHome,
+    WaitForOutcome,
+)
+from briarspur.finals import Finals
+from briarspur.inflight import InFlight
+from briarspur.members import MemberView, ViewedMember
+from briarspur.messages import (
+    Action,
+    Answer,
+    Claim,
+    Failure,
+    FetchOutcome,
+    Kind,
+    Refusal,
+    Refuse,
+    Reply,
+)
+from briarspur.placement import Placement, Queued, Refused, ToEntry, ToTarget
+from briarspur.routing import Routing
+from briarspur.target import OwnTarget
+from briarspur.work import Attempt, Classified, Work
+
+__all__ = ["Pipeline"]
+
+MAX_TRIES = 3
+"""Attempts for one request, the first one included."""
+
+REPEATABLE = frozenset({Failure.NOT_SENT, Failure.SHED})
+"""Failures that prove that the attempt ran nothing."""
+
+FINAL_CODE_BY_FAILURE = {
+    Failure.NOT_SENT: Code.OVERLOADED,
+    Failure.SHED: Code.OVERLOADED,
+    Failure.LOST: Code.CONNECTION_LOST,
+    Failure.CUT_SHORT: Code.ANSWER_CUT_SHORT,
+    Failure.DEADLINE: Code.DEADLINE_PASSED,
+}
+
+
+class Pipeline:
+    """Takes each request through the filters; every method appends its actions to ``out``.
+
+    Parameters
+    ----------
+    keys : KeyMemory
+        The keys this entry is the home of.
+    quarantine : Quarantine
+        Requests that crashed backend servers.
+    routing, placement : Routing, Placement
+        The choice of a region, and of a place in it.
+    inflight : InFlight
+        The attempts in progress.
+    finals : Finals
+        The open requests.
+    """
+
+    def __init__(
+        self,
+        keys: KeyMemory,
+        quarantine: Quarantine,
+        routing: Routing,
+        placement: Placement,
+        inflight: InFlight,
+        finals: Finals,
+    ) -> None:
+        self._keys = keys
+        self._quarantine = quarantine
+        self._routing = routing
+        self._placement = placement
+        self._inflight = inflight
+        self._finals = finals
+        self._dedupe = Deduplicator(keys)
+
+    def enter(
+        self, item: Classified, view: MemberView, now: float, wall: float, out: list[Action]
+    ) -> None:
+        """Begin with a classified request: what is known of its key decides where it goes."""
+        step = self._dedupe.arrive(item, view, now, wall)
+        request_id = item.request.request_id
+        if isinstance(step, Final):
+            out.append(Refuse(request_id, step.refusal))
+            return
+        if isinstance(step, Known):
+            out.append(Reply(request_id, _answer(step.answer)))
+            return
+        work = Work(item.request, item.service, item.rule, item.home, item.deadline, now)
+        self._finals.open(work)
+        match step:
+            case Run(key=key):
+                work.key = key
+                self._routing.first_attempt(work)
+                self.admit(work, now, out)
+            case ClaimKey(key=key):
+                work.key = key
+                out.append(Claim(request_id, key.text, item.request.body_digest))
+            case ToHome(home=home):
+                self._forward(work, home, now, out, to_home=True)
+            case AskStore(key=key):
+                out.append(FetchOutcome(request_id, key.incarnation or "", key.text))
+            case WaitForOutcome(key=key):
+                pass
+
+    def admit(self, work: Work, now: float, out: list[Action]) -> None:
+        """Quarantine and deadline, then the choice of a region."""
+        verdict = self._quarantine.admit(work.request.body_digest, now)
+        if verdict is Admission.REFUSE:
+            self.refuse(work, Refusal(Code.QUARANTINED), out)
+            return
+        work.alone = verdict is Admission.RUN_ALONE
+        if now >= work.deadline:
+            self.refuse(work, Refusal(Code.DEADLINE_TOO_SHORT), out)
+            return
+        refusal = self._routing.choose_region(work, now)
+        if refusal is not None:
+            self.refuse(work, refusal, out)
+            return
+        self._place(work, now, out)
+
+    def _place(self, work: Work, now: float, out: list[Action]) -> None:
+        placed = self._routing.place(work, now)
+        match placed:
+            case ToTarget(own=own):
+                self._dispatch(work, own, now, out)
+            case ToEntry(member=member):
+                self._forward(work, member, now, out)
+            case Queued(evicted=evicted):
+                if evicted is not None:
+                    refusal = self._placement.overloaded(evicted.service.name, now)
+                    self.refuse(evicted, refusal, out)
+            case Refused(refusal=refusal):
+                self.refuse(work, refusal, out)
+
+    def _dispatch(self, work: Work, own: OwnTarget, now: float, out: list[Action]) -> None:
+        action = self._inflight.to_target(work, own, now)
+        if action is not None:
+            out.append(action)
+        else:
+            self.refuse(work, self._placement.overloaded(work.service.name, now), out)
+
+    def _forward(
+        self,
+        work: Work,
+        member: ViewedMember,
+        now: float,
+        out: list[Action],
+        to_home: bool = False,
+    ) -> None:
+        action = self._inflight.to_entry(work, member, now, to_home)
+        if action is not None:
+            out.append(action)
+        else:
+            self.refuse(work, self._placement.overloaded(work.service.name, now), out)
+
+    # After an attempt
+
+    def failed(
+        self,
+        work: Work,
+        attempt: Attempt,
+        failure: Failure,
+        resumable: bool,
+        retry_after: float | None,
+        now: float,
+        out: list[Action],
+    ) -> None:
+        """Try a request again where that is safe and within the budget; otherwise end it."""
+        proof = _proof(failure, attempt.attempt_id)
+        if self._may_retry(work, attempt, failure, resumable, proof, now):
+            self._again(work, now, out)
+        else:
+            self._end_failed(work, attempt, failure, proof, retry_after, now, out)
+
+    def _may_retry(
+        self,
+        work: Work,
+        attempt: Attempt,
+        failure: Failure,
+        resumable: bool,
+        proof: NotRunProof | None,
+        now: float,
+    ) -> bool:
+        """Tell whether another attempt is safe, in time and within the budget."""
+        if not work.caller_here or work.tries >= MAX_TRIES or now >= work.deadline:
+            return False
+        if attempt.key_home or (work.passed > 0 and not resumable):
+            return False
+        if work.kind is Kind.ONCE_ONLY and proof is None:
+            # The booking may have run: a second attempt could record it twice.
+            return False
+        if failure is Failure.DEADLINE or not self._routing.take_retry(work):
+            return False
+        return work.key is None or (proof is not None and self._keys.retry(work.key, proof))
+
+    def refuse(
+        self,
+        work: Work,
+        refusal: Refusal,
+        out: list[Action],
+        proof: NotRunProof | None = None,
+    ) -> None:
+        """End a request that was not run, and say so."""
+        if work.tries == 0 or proof is not None:
+            self._routing.not_sent(work)
+        self._finals.give_up(work, refusal, out, proof)
+
+    def _again(self, work: Work, now: float, out: list[Action]) -> None:
+        verdict = self._quarantine.admit(work.request.body_digest, now)
+        if verdict is Admission.REFUSE:
+            self.refuse(work, Refusal(Code.QUARANTINED), out)
+            return
+        work.alone = verdict is Admission.RUN_ALONE
+        self._place(work, now, out)
+
+    def _end_failed(
+        self,
+        work: Work,
+        attempt: Attempt,
+        failure: Failure,
+        proof: NotRunProof | None,
+        retry_after: float | None,
+        now: float,
+        out: list[Action],
+    ) -> None:
+        """End a request after its last attempt, with what can truly be said of it."""
+        if attempt.key_home:
+            # Whatever became of the copy sent there, only the home knows about the key.
+            refusal = Refusal(Code.HOME_UNREACHABLE, retry_after=1.0)
+            self._finals.finish(work, refusal, out)
+        elif work.kind is Kind.ONCE_ONLY and proof is None:
+            late = failure is Failure.DEADLINE
+            code = Code.DEADLINE_PASSED_AFTER_DISPATCH if late else Code.OUTCOME_UNKNOWN
+            self._finals.unknown(work, Refusal(code), now, out)
+        else:
+            code = FINAL_CODE_BY_FAILURE[failure]
+            if failure in REPEATABLE:
+                retry_after = retry_after or self._placement.retry_after(work.service.name, now)
+            self.refuse(work, Refusal(code, failure.value, retry_after), out, proof)
+
+    # Waiting
+
+    def run_waiting(self, now: float, out: list[Action]) -> None:
+        """Dispatch waiting requests as long as slots are free."""
+        while (found := self._placement.next_waiting(now)) is not None:
+            work, own = found
+            self._dispatch(work, own, now, out)
+
+
+def _answer(kept: KeptAnswer) -> Answer:
+    return Answer(kept.status, kept.headers, kept.body)
+
+
+def _proof(failure: Failure, attempt_id: int) -> NotRunProof | None:
+    """Return the proof that an attempt ran nothing, if its failure is one."""
+    if failure is Failure.NOT_SENT:
+        return NotRunProof.not_sent(attempt_id)
+    if failure is Failure.SHED:
+        return NotRunProof.shed(attempt_id)
+    return None
--- a/briarspur/placement.py
+++ b/briarspur/placement.py
@@ -184,6 +184,9 @@
     def _take(self, work: Work, now: float) -> OwnTarget | None:
         """Take a slot of a target and a unit of the region's limit, or neither."""
         service = work.service.name
+        # A process that was paused finds its queue full of requests nobody waits for any more.
+        if now >= work.deadline:
+            return None
         if self._waiting_by_service[service].ahead_of(work.priority) > 0 and not work.queued:
             return None
         ejected = self.outliers_by_service[service].ejected_targets(now)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 from briarspur.core import CoreSettings
 from briarspur.members import MemberView
 from briarspur.messages import Answer, Begin, Dispatch, Failure, Forward, Refuse, Reply
-from tests.bench import Bench, body, make_core, make_view
+from tests.bench import WALL, Bench, body, make_core, make_view
 
 
 class ServeTest(unittest.TestCase):
@@ -100,6 +100,30 @@
         self.assertIsInstance(refused, Refuse)
         self.assertEqual(refused.refusal.code, Code.OVERLOADED)
 
+    def test_owner_that_dispatches_for_a_home_never_tries_a_booking_again(self) -> None:
+        """A passenger would be booked twice.
+
+        The key's home has no target of its own and sends the booking to an owner, which holds no
+        memory of the key. The target records it and its connection breaks.
+        """
+        fields = {"forwarded_by": "entry-2", "dispatch_only": True, "key": self.key}
+        sent = self.bench.arrive("POST", "/booking/new", **fields)[0]
+        ended = self.core.attempt_failed(sent.attempt_id, Failure.LOST, 0.1)
+        self.assertEqual(ended[0].refusal.code, Code.OUTCOME_UNKNOWN)
+
+    def test_resumed_entry_dispatches_nothing_past_its_deadline(self) -> None:
+        """A booking is made long after its caller gave up, and a boat goes out for nobody.
+
+        The entry is paused with a booking in its queue. When it resumes, the answer of another
+        request frees a slot before the queue is looked through.
+        """
+        running = [self.bench.arrive("GET", f"/booking/{n}")[0] for n in range(2)]
+        self.assertEqual(self.bench.arrive("POST", "/booking/new", key=self.key), [])
+        late = self.core.answer_ended(running[0].attempt_id, None, 1, 100.0)
+        self.assertEqual(late, [])
+        refused = self.core.tick(100.0, WALL + 100.0)
+        self.assertEqual(refused[0].refusal.code, Code.OVERLOADED)
+
     def test_key_of_another_entry_is_forwarded_to_its_home(self) -> None:
         key = self.bench.key(incarnation=body(2))
         sent = self.bench.arrive("POST", "/booking/new", key=key)[0]
