Stories over real processes; a leaving entry tells its region before it lets go of its targets

Cause: an entry told to stop gave its targets up at once, while the entry that was to own them heard of it some probe periods later. Meanwhile it forwarded to an entry without targets, which refused with NO_TARGET and a Retry-After of 10 to 20 s, the estimate for an endless queue. Ruled out: downloads, cached look-ups and the queue. Now all of the region is probed and has answered, or one period has passed, before the own view changes; and without a target a caller is told to come back after 1 to 2 s.

An experiment's entry can have another core: node and core are made by class attributes.

--- a/briarspur/coord/membership.py
+++ b/briarspur/coord/membership.py
@@ -182,6 +182,15 @@
         mine = self.table.mine
         self.table.set(replace(mine, number=mine.number + 1, state=MemberState.LEAVING), now)
 
+    def probes_of_region(self) -> list[ProbeOut]:
+        """Return a probe of every other reachable member of the own region."""
+        members = self.reachable(self.me.region)
+        return [
+            self._probe(member.address, member.member_id)
+            for member in members
+            if member.member_id != self.me.member_id
+        ]
+
     # Probing.
 
     def _probe_member(self) -> ProbeOut | None:
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -50,6 +50,8 @@
 class EntryDaemon:
     """One entry process."""
 
+    node_type: type[EntryNode] = EntryNode
+
     def __init__(self, settings: EntrySettings) -> None:
         from twisted.internet import reactor
 
@@ -70,7 +72,7 @@
         self._metrics: Metrics = NullMetrics()
         if settings.statsd is not None:
             self._metrics = StatsdMetrics(settings.statsd)
-        self.node = EntryNode(settings, self._incarnation, self._metrics, self._clock)
+        self.node = self.node_type(settings, self._incarnation, self._metrics, self._clock)
         self.node.on_core = self._core_made
         self._in_force = InForce(
             {POLICY_NAME: self.node.policy_stored, PLAN_NAME: self.node.plan_stored}
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -56,6 +56,8 @@
         Carries out actions that a change of policy or members brings.
     """
 
+    core_type: type[Core] = Core
+
     def __init__(
         self, settings: EntrySettings, incarnation: str, metrics: Metrics, clock: NodeClock
     ) -> None:
@@ -156,7 +158,7 @@
             queue_limit=self.settings.limits.queued,
             remembered_keys=self.settings.limits.remembered_keys,
         )
-        self.core = Core(
+        self.core = self.core_type(
             self.settings.entry_id, self.region, self.incarnation, rng, now, core_settings
         )
         self._meter = LoadMeter(self.settings.entry_id, self.incarnation, self.region)
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -87,6 +87,7 @@
         self._times = times
         self._joining = Joining(times.period)
         self._shown_version = -1
+        self._view_is_held = False
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -160,17 +161,33 @@
             await asyncio.sleep(self._times.list_interval * (0.5 + self._rng.random()))
 
     def leave(self) -> None:
-        """Say that this entry takes no new work, and tell some others at once."""
-        now = self._clock()
-        self._membership.leave(now)
+        """Say that this entry takes no new work, to its whole region at once.
+
+        The others take its targets over as they hear of it. If this entry let go of them before
+        that, nobody would own them for up to some probe periods, and callers would be refused in
+        the middle of a planned stop. So its own view follows when the region has answered.
+        """
+        self._membership.leave(self._clock())
+        self._view_is_held = True
+        task = asyncio.get_running_loop().create_task(
+            self._announce(self._membership.probes_of_region())
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _announce(self, probes: list[ProbeOut]) -> None:
+        """Send probes and wait for the replies, but no longer than one period."""
+        sending = [asyncio.ensure_future(self._probe(probe)) for probe in probes]
+        if sending:
+            await asyncio.wait(sending, timeout=self._times.period)
+        self._view_is_held = False
         self.show_view()
-        self._send(self._membership.tick(now))
 
     def show_view(self) -> None:
         """Hand on the view of the live entries if it changed, once there is one to trust."""
         membership = self._membership
         unheard, has_contact = membership.unheard(), membership.has_contact()
-        if not self._joining.joined(has_contact, unheard, self._clock()):
+        if not self._joining.joined(has_contact, unheard, self._clock()) or self._view_is_held:
             return
         if self._membership.view_version == self._shown_version:
             return
--- a/briarspur/placement.py
+++ b/briarspur/placement.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 
 from briarspur.codes import Code
 from briarspur.coord.escrow import Account, EscrowSettings
@@ -28,7 +29,8 @@
 
 MIN_RETRY_AFTER = 0.2
 MAX_RETRY_AFTER = 10.0
-"""Bounds in seconds of what a refused caller is told."""
+NO_TARGET_RETRY_AFTER = 1.0
+"""Bounds in seconds of what a refused caller is told, and what it is told without a target."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,7 +249,10 @@
         """Return the seconds until the queue is served, spread so that callers return apart."""
         targets = self.targets_by_service.get(service)
         waiting = self._waiting_by_service.get(service)
-        wait = targets.wait_for(len(waiting), now) if targets and waiting is not None else 1.0
+        wait = targets.wait_for(len(waiting), now) if targets and waiting is not None else inf
+        if wait == inf:
+            # Without a target there is no queue to estimate: one may come with the next view.
+            wait = NO_TARGET_RETRY_AFTER
         wait = min(max(wait, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
         return wait * (1 + self._rng.random())
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -27,7 +27,7 @@
 
 LOOKUP_PATIENCE_S = 2.0
 PROGRESS_S = 2.0
-MOST_FAULTS = 50
+MOST_HISTORIES = 50
 NO_CODE = 0
 HTTP_ERROR = 400
 DEFAULT_RETRY_S = 0.2
@@ -226,8 +226,8 @@
         report.repeated_calls += call.attempts > 1
         if outcome is Outcome.ANSWERED:
             report.answered(call.load.name, time.monotonic() - call.began)
-        elif outcome in (Outcome.WRONG, Outcome.NONE) and len(report.faults) < MOST_FAULTS:
-            report.faults.append(f"{outcome.value}: {call.path}: {'; '.join(call.history)}")
+        elif len(report.histories) < MOST_HISTORIES:
+            report.histories.append(f"{outcome.value}: {call.path}: {'; '.join(call.history)}")
         if call.key is None:
             return
         if outcome is Outcome.ANSWERED:
--- a/standins/callreport.py
+++ b/standins/callreport.py
@@ -51,6 +51,8 @@
         Every answer, those that were repeated included.
     fates_by_key : dict of str to str
         Value of :class:`Fate` for each key.
+    histories : list of str
+        The attempts of calls that were not answered, the first of each process.
     repeated_calls : int
         Calls that took more than one attempt.
     """
@@ -60,7 +62,7 @@
     attempt_codes: Counter[str] = field(default_factory=Counter)
     fates_by_key: dict[str, str] = field(default_factory=dict)
     histograms_by_load: dict[str, Any] = field(default_factory=dict)
-    faults: list[str] = field(default_factory=list)
+    histories: list[str] = field(default_factory=list)
     lookups: int = 0
     repeated_calls: int = 0
 
@@ -74,6 +76,11 @@
         self.codes_by_load.setdefault(load, Counter())[str(code)] += 1
         self.outcomes_by_load.setdefault(load, Counter())[outcome.value] += 1
 
+    def unfinished(self) -> list[str]:
+        """Return the histories of calls without a final answer, or with a wrong one."""
+        bad = (Outcome.NONE.value, Outcome.WRONG.value)
+        return [history for history in self.histories if history.startswith(bad)]
+
     def total(self, outcome: Outcome, load: str | None = None) -> int:
         """Return how many calls ended so."""
         counters = self.outcomes_by_load
@@ -95,7 +102,7 @@
             self.histograms_by_load.setdefault(load, new_histogram()).add(histogram)
         self.attempt_codes.update(other.attempt_codes)
         self.fates_by_key.update(other.fates_by_key)
-        self.faults.extend(other.faults)
+        self.histories.extend(other.histories)
         self.lookups += other.lookups
         self.repeated_calls += other.repeated_calls
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -132,7 +132,7 @@
     for outcome in (Outcome.NONE, Outcome.WRONG):
         if count := report.total(outcome):
             faults.append(f"{count} calls: {outcome.value}")
-    return faults + report.faults[:10]
+    return faults + report.unfinished()[:10]
 
 
 def _broken(verdict: Verdict) -> list[tuple[str, list[str]]]:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -13,7 +13,10 @@
 __all__ = ["Launcher"]
 
 ROOT = Path(__file__).resolve().parent.parent
-END_PATIENCE_S = 10.0
+END_PATIENCE_S = 1.0
+"""Nothing of a demo is kept, so its entries need not serve on until cached look-ups lapse."""
+
+STOP_PATIENCE_S = 10.0
 PR_SET_PDEATHSIG = 1
 STOPPED_BY_SIGNAL = 128
 
@@ -93,7 +96,7 @@
         """
         return self._process_by_name[name].wait(patience)
 
-    def stop(self, name: str, patience: float = END_PATIENCE_S) -> int:
+    def stop(self, name: str, patience: float = STOP_PATIENCE_S) -> int:
         """Send SIGTERM and wait; return the exit code."""
         self.signal(name, signal.SIGTERM)
         return self.wait(name, patience)
@@ -101,7 +104,7 @@
     def kill(self, name: str) -> None:
         """Send SIGKILL and wait."""
         self.signal(name, signal.SIGKILL)
-        self.wait(name, END_PATIENCE_S)
+        self.wait(name, STOP_PATIENCE_S)
 
     def end_all(self) -> None:
         """End every process: all are asked first, then those that stay are killed."""
--- /dev/null
+++ b/tests/stories/__init__.py
@@ -0,0 +1,1 @@
+"""Stories of failures over real processes on loopback."""
--- /dev/null
+++ b/tests/stories/test_store_stopped.py
@@ -0,0 +1,36 @@
+"""The platform's store stops answering under load, and comes back."""
+
+import signal
+
+from standins.callreport import Outcome
+from standins.system import until
+from tests.stories.small import BOOKINGS, TIMES, StoryTest, small_system
+
+FOREIGN = BOOKINGS.model_copy(
+    update={"name": "foreign", "foreign_share": 1.0, "per_s": 5.0, "repeats": 0}
+)
+
+
+class StoreStoppedTest(StoryTest):
+    """SIGSTOP of the platform under load."""
+
+    def test_callers_are_served_by_the_last_policy(self) -> None:
+        """Timetables and bookings go on while the store is silent for longer than its timeout.
+
+        The platform's process is stopped, so calls to it hang. Entries must not wait for it on the
+        way of a request. Only keys that no look-up handed out need it: they are not dispatched.
+        """
+        with small_system() as system:
+            system.start_callers(8.0, [TIMES, BOOKINGS, FOREIGN])
+            until(lambda: system.bookings() >= 20, "20 bookings before")
+            system.launcher.signal("platform", signal.SIGSTOP)
+            before = system.bookings()
+            until(lambda: system.bookings() >= before + 120, "120 bookings without a store")
+            system.launcher.signal("platform", signal.SIGCONT)
+            report = self.finish(system)
+            for load in ("times", "booking"):
+                answered = report.total(Outcome.ANSWERED, load)
+                calls = report.outcomes_by_load[load].total()
+                self.assertEqual(answered, calls, report.codes_by_load)
+            foreign = report.outcomes_by_load["foreign"]
+            self.assertGreater(foreign[Outcome.REFUSED.value] + foreign[Outcome.UNKNOWN.value], 0)
--- /dev/null
+++ b/tools/experiment.py
@@ -0,0 +1,251 @@
+"""Measure the chosen way of giving out targets against simpler ones, over real processes.
+
+Each cell is one system under one load. The rows of a table come from one run of this program, so
+that their ratios hold on whatever machine ran it.
+"""
+
+import argparse
+import math
+import os
+import random
+import tempfile
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from standins.alternatives import Alternative
+from standins.callersettings import Load
+from standins.callreport import Outcome, Report, judge
+from standins.deployment import Deployment
+from standins.launcher import Launcher
+from standins.system import System, until
+
+MEDIAN_MS = 100.0
+"""Service time of small requests: slow enough that one machine can fill every slot."""
+
+DOWNLOAD_BYTES = 500_000
+DOWNLOAD_LOAD = 0.2
+WARM_UP_S = 4.0
+LOSS_AFTER_S = 3.0
+CALLERS_END_S = 120.0
+DOWNLOADS = {"charts", "plans"}
+KEYED = {"bookings", "ordering"}
+LOADS = (0.5, 0.8, 0.95, 1.3)
+LOSSES = ("entry", "zone", "region")
+HEADER = (
+    "| way | load | lost | goodput of capacity | refused | p50 ms | p99 ms | shed by targets "
+    "| peak over target's slots | peak over region's limit | not final | doubled |"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One row: what ran, and what it showed.
+
+    Attributes
+    ----------
+    target_peak, region_peak : float
+        Highest in-flight count over slots, or over the region's limit, of any target or region.
+    """
+
+    way: str
+    load: float
+    lost: str
+    goodput: float
+    refused: float
+    p50: float
+    p99: float
+    shed: int
+    target_peak: float
+    region_peak: float
+    not_final: int
+    doubled: int
+
+    def row(self) -> str:
+        """Return the row of the table."""
+        return (
+            f"| {self.way} | {self.load:.0%} | {self.lost} | {self.goodput:.1%}"
+            f" | {self.refused:.2%} | {self.p50:.0f} | {self.p99:.0f} | {self.shed}"
+            f" | {self.target_peak:.2f} | {self.region_peak:.2f} | {self.not_final}"
+            f" | {self.doubled} |"
+        )
+
+
+class Experiment:
+    """One system under one way, and the cells measured on it."""
+
+    def __init__(self, system: System, way: Alternative, seconds: float) -> None:
+        self._system = system
+        self._way = way
+        self._seconds = seconds
+        self._capacity_by_service = capacities(system.deployment)
+
+    def measure(self, load: float, lost: str = "none") -> Cell:
+        """Run one cell after a warm-up that is not counted."""
+        system = self._system
+        loads = self._loads(load)
+        system.start_callers(WARM_UP_S, loads)
+        system.finish_callers(CALLERS_END_S)
+        system.forget_callers()
+        system.switch_target("*", reset_peaks=True)
+        system.start_callers(self._seconds, loads)
+        if lost != "none":
+            self._lose(lost)
+        report = system.finish_callers(CALLERS_END_S)
+        return self._cell(load, lost, report)
+
+    def _loads(self, share: float) -> list[Load]:
+        """Return the loads of each region's callers at a share of the capacity."""
+        regions = len(self._system.deployment.standins.caller_hosts_by_region)
+        loads = []
+        for service, capacity in self._capacity_by_service.items():
+            download = service in DOWNLOADS
+            loads.append(
+                Load(
+                    name=service,
+                    service=service,
+                    path=f"/{service}/x",
+                    method="POST" if service in KEYED else "GET",
+                    keyed=service in KEYED,
+                    per_s=capacity * (DOWNLOAD_LOAD if download else share) / regions,
+                    download_bytes=DOWNLOAD_BYTES if download else 0,
+                    patience_s=30.0 if download else 10.0,
+                    repeats=0,
+                )
+            )
+        return loads
+
+    def _lose(self, lost: str) -> None:
+        """Kill an entry, the entries of a zone, or a region with its backend servers."""
+        system = self._system
+        until(lambda: system.callers_running() != [], "callers")
+        mark = system.total("started")
+        small = sum(c for s, c in self._capacity_by_service.items() if s not in DOWNLOADS)
+        until(lambda: system.total("started") > mark + small * LOSS_AFTER_S / 2, "load")
+        policy = system.deployment.policy()
+        region = next(iter(policy.regions))
+        zone = policy.regions[region].zones[0]
+        for entry_id, entry in policy.entries.items():
+            in_zone = entry.zone == zone
+            in_region = entry.zone in policy.regions[region].zones
+            if (lost == "region" and in_region) or (lost == "zone" and in_zone):
+                system.launcher.kill(entry_id)
+        if lost == "entry":
+            system.launcher.kill("entry-1")
+        if lost == "region":
+            system.lose_backends(region)
+
+    def _cell(self, load: float, lost: str, report: Report) -> Cell:
+        small = [s for s in self._capacity_by_service if s not in DOWNLOADS]
+        answered = sum(report.total(Outcome.ANSWERED, service) for service in small)
+        calls = sum(sum(report.outcomes_by_load.get(s, {}).values()) for s in small)
+        refused = sum(report.total(Outcome.REFUSED, service) for service in small)
+        capacity = sum(self._capacity_by_service[service] for service in small) * self._seconds
+        total = Report()
+        for service in small:
+            if service in report.histograms_by_load:
+                total.histograms_by_load.setdefault("all", report.histograms_by_load[service])
+                if total.histograms_by_load["all"] is not report.histograms_by_load[service]:
+                    total.histograms_by_load["all"].add(report.histograms_by_load[service])
+        ledgers = self._system.ledgers()
+        policy = self._system.deployment.policy()
+        verdict = judge(report, ledgers)
+        return Cell(
+            way=self._way.value,
+            load=load,
+            lost=lost,
+            goodput=answered / capacity,
+            refused=refused / max(1, calls),
+            p50=total.milliseconds("all", 50),
+            p99=total.milliseconds("all", 99),
+            shed=sum(c["shed"] for item in ledgers for c in item["counts_by_target"].values()),
+            target_peak=max(
+                c["peak_in_flight"] / policy.targets[target_id].slots
+                for item in ledgers
+                for target_id, c in item["counts_by_target"].items()
+            ),
+            region_peak=max(
+                c["peak_in_flight"] / policy.regions[region].in_flight_limit
+                for item in ledgers
+                for region, c in item["counts_by_region"].items()
+            ),
+            not_final=report.total(Outcome.NONE) + report.total(Outcome.WRONG),
+            doubled=len(verdict.doubled),
+        )
+
+
+def capacities(deployment: Deployment) -> dict[str, float]:
+    """Return requests a second that all slots of each service can run, by service."""
+    policy = deployment.policy()
+    found: dict[str, float] = {}
+    for target in policy.targets.values():
+        time = deployment.standins.times_by_service[target.service]
+        seconds = time.median_ms / 1000 * math.exp(time.sigma**2 / 2)
+        if target.service in DOWNLOADS:
+            seconds += DOWNLOAD_BYTES / time.bytes_per_s
+        found[target.service] = found.get(target.service, 0.0) + target.slots / seconds
+    return found
+
+
+def slowed(deployment: Deployment) -> Deployment:
+    """Return the deployment with the service times of experiments."""
+    times = {
+        service: time.model_copy(update={"median_ms": MEDIAN_MS})
+        for service, time in deployment.standins.times_by_service.items()
+    }
+    standins = deployment.standins.model_copy(update={"times_by_service": times})
+    return Deployment(deployment.folder, deployment.documents_by_name, standins)
+
+
+def with_system(
+    name: str, way: Alternative, seconds: float, work: Callable[[Experiment], Iterator[Cell]]
+) -> list[Cell]:
+    """Start a system for ``way``, run ``work`` on it, and show each cell as it ends."""
+    cells = []
+    with tempfile.TemporaryDirectory(prefix="briarspur-experiment-") as folder:
+        deployment = slowed(Deployment.load(name, Path(folder)))
+        with Launcher(Path(folder)) as launcher:
+            system = System(deployment, launcher, entry_module="standins.trialentry")
+            for entry_id in system.entry_ids:
+                settings = deployment.documents_by_name[entry_id]
+                deployment.write(entry_id, {**settings, "alternative": way.value})
+            system.start()
+            for cell in work(Experiment(system, way, seconds)):
+                print(cell.row(), flush=True)
+                cells.append(cell)
+    return cells
+
+
+def main() -> None:
+    """Measure the cells that the arguments choose."""
+    parser = argparse.ArgumentParser(prog="experiment", description=__doc__)
+    parser.add_argument("--deployment", choices=["iroise", "holzwerk"], default="iroise")
+    parser.add_argument("--seconds", type=float, default=12.0, help="of load for each cell")
+    parser.add_argument("--ways", nargs="*", default=[way.value for way in Alternative])
+    parser.add_argument("--loads", nargs="*", type=float, default=list(LOADS))
+    parser.add_argument("--losses", nargs="*", choices=LOSSES, default=[])
+    parser.add_argument("--loss-load", type=float, default=0.8)
+    arguments = parser.parse_args()
+    print(f"{arguments.deployment}, {arguments.seconds:.0f} s a cell, {os.cpu_count()} cores")
+    print(HEADER)
+    print("|" + " --- |" * HEADER.count(" | ") + " --- |")
+    ways = [Alternative(way) for way in arguments.ways]
+    random.Random(1).shuffle(ways)
+    for way in ways:
+        with_system(
+            arguments.deployment,
+            way,
+            arguments.seconds,
+            lambda e: (e.measure(load) for load in arguments.loads),
+        )
+        for lost in arguments.losses:
+            with_system(
+                arguments.deployment,
+                way,
+                arguments.seconds,
+                lambda e, lost=lost: iter([e.measure(arguments.loss_load, lost)]),  # type: ignore[misc]
+            )
+
+
+if __name__ == "__main__":
+    main()
