--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -38,6 +38,7 @@
     Refuse,
     Reply,
     Request,
+    SettledClaim,
 )
 from briarspur.outgoing import dispatch_request, forward_request
 
@@ -80,7 +81,7 @@
     def caller_gone(self, request_id: str, now: float) -> list[Action]:
         """Decide on a request nobody waits for any more."""
 
-    def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
+    def claim_settled(self, request_id: str, claim: SettledClaim, now: float) -> list[Action]:
         """Go on after a claim."""
 
     def outcome_fetched(
@@ -324,13 +325,13 @@
 
     async def _claim(self, action: Claim) -> None:
         try:
-            result = await self._keys.claim(action.key, action.body_digest)
+            settled = await self._keys.claim(action.key, action.body_digest)
         except Exception as error:
             # Whatever went wrong, the claim may stand; only "unsettled" is surely not wrong.
             logs.event("internal-error", logging.ERROR, during="claim", error=repr(error))
-            result = ClaimResult.UNSETTLED
+            settled = SettledClaim(ClaimResult.UNSETTLED)
         now = self._clock.seconds()
-        self.carry_out(self._core.claim_settled(action.request_id, result, now))
+        self.carry_out(self._core.claim_settled(action.request_id, settled, now))
 
     async def _fetch_outcome(self, action: FetchOutcome) -> None:
         try:
--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -22,13 +22,13 @@
     Answer,
     Begin,
     Cancel,
-    ClaimResult,
     Failure,
     Kind,
     Refusal,
     Refuse,
     Reply,
     Request,
+    SettledClaim,
 )
 from briarspur.ownership import OwnerSlots, SlotRule
 from briarspur.pipeline import Pipeline
@@ -269,21 +269,12 @@
 
     # Claims and outcomes in the store
 
-    def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
+    def claim_settled(self, request_id: str, claim: SettledClaim, now: float) -> list[Action]:
         """Go on with a foreign key whose claim was tried."""
         out: list[Action] = []
         work = self._finals.get(request_id)
-        if work is None or work.key is None:
-            return out
-        if result is ClaimResult.OURS:
-            self.keys.claimed(work.key)
-            self.routing.first_attempt(work)
-            self._pipeline.admit(work, now, out)
-            return out
-        # Another entry holds the claim, or nobody can tell: an earlier copy may have run there.
-        taken = result is ClaimResult.TAKEN
-        code = Code.HOME_GONE if taken else Code.STORE_UNAVAILABLE
-        self._pipeline.refuse(work, Refusal(code, retry_after=None if taken else 2.0), out)
+        if work is not None:
+            self._pipeline.claimed(work, claim, self.view, now, out)
         return out
 
     def outcome_fetched(
--- a/briarspur/finals.py
+++ b/briarspur/finals.py
@@ -91,9 +91,12 @@
     def once_only_caller_gone(self, work: Work) -> None:
         """Give a once-only request up if nothing was dispatched and no other caller waits."""
         key = self._keys.leave(work.request.request_id)
+        runners = [w for w in self._works_by_id.values() if key is not None and w.key == key]
+        if work.claiming or any(runner.claiming for runner in runners):
+            # The claim may take effect and can't be made twice: its answer decides.
+            return
         if key is not None:
             self._keys.not_run(key)
-            runners = [w for w in self._works_by_id.values() if w.key == key]
             for runner in runners:
                 self.close(runner)
         elif work.attempt is None and work.key is None:
--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -30,6 +30,7 @@
     "Refuse",
     "Reply",
     "Request",
+    "SettledClaim",
     "TargetAddress",
 ]
 
@@ -80,6 +81,14 @@
     UNSETTLED = "unsettled"
 
 
+@dataclass(frozen=True, slots=True)
+class SettledClaim:
+    """What became of a claim, and which incarnation holds it if it is taken."""
+
+    result: ClaimResult
+    holder: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class EntryAddress:
     """Where an entry listens."""
--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -5,6 +5,7 @@
 """
 
 from briarspur.codes import Code
+from briarspur.coord.keys import Key
 from briarspur.coord.once import KeptAnswer, KeyMemory, NotRunProof
 from briarspur.coord.quarantine import Admission, Quarantine
 from briarspur.dedupe import (
@@ -24,12 +25,14 @@
     Action,
     Answer,
     Claim,
+    ClaimResult,
     Failure,
     FetchOutcome,
     Kind,
     Refusal,
     Refuse,
     Reply,
+    SettledClaim,
 )
 from briarspur.placement import Placement, Queued, Refused, ToEntry, ToTarget
 from briarspur.routing import Routing
@@ -41,6 +44,9 @@
 MAX_TRIES = 3
 """Attempts for one request, the first one included."""
 
+CLAIM_RETRY_AFTER = 2.0
+"""Seconds until a caller may repeat a request whose claim could not be used."""
+
 REPEATABLE = frozenset({Failure.NOT_SENT, Failure.SHED})
 """Failures that prove that the attempt ran nothing."""
 
@@ -108,6 +114,7 @@
                 self.admit(work, now, out)
             case ClaimKey(key=key):
                 work.key = key
+                work.claiming = True
                 out.append(Claim(request_id, key.text, item.request.body_digest))
             case ToHome(home=home):
                 self._forward(work, home, now, out, to_home=True)
@@ -116,6 +123,60 @@
             case WaitForOutcome(key=key):
                 pass
 
+    def claimed(
+        self,
+        work: Work,
+        claim: SettledClaim,
+        view: MemberView,
+        now: float,
+        out: list[Action],
+    ) -> None:
+        """Go on with a foreign key: run it, send it to the one that holds its claim, or refuse."""
+        key = work.key
+        work.claiming = False
+        if key is None:
+            return
+        if claim.result is ClaimResult.OURS:
+            self._keys.claimed(key)
+            if work.caller_here:
+                self._routing.first_attempt(work)
+                self.admit(work, now, out)
+            else:
+                # Kept as ours but not run: the claim can't be made a second time, so a repeat that
+                # found nothing here could never be run.
+                self.refuse(work, Refusal(Code.OVERLOADED, retry_after=CLAIM_RETRY_AFTER), out)
+        elif claim.result is ClaimResult.TAKEN:
+            self._send_to_holder(work, key, claim.holder, view, now, out)
+        else:
+            refusal = Refusal(Code.STORE_UNAVAILABLE, retry_after=CLAIM_RETRY_AFTER)
+            self.refuse(work, refusal, out)
+
+    def _send_to_holder(
+        self,
+        work: Work,
+        key: Key,
+        holder: str | None,
+        view: MemberView,
+        now: float,
+        out: list[Action],
+    ) -> None:
+        """Send the request, and those that joined it, to the entry that may run the key."""
+        home = view.by_incarnation(holder) if holder is not None else None
+        for request_id in self._keys.not_run(key).request_ids:
+            each = self._finals.get(request_id)
+            if each is None:
+                continue
+            each.key = None
+            if home is None:
+                out.append(FetchOutcome(request_id, holder or "", key.text))
+            elif each.request.forwarded_by is not None or holder == self._keys.incarnation:
+                # Forgotten here, or sent here by an entry that took us for the holder.
+                self._finals.finish(each, Refusal(Code.HOME_GONE), out)
+            else:
+                self._forward(each, home, now, out, to_home=True)
+        if not work.caller_here:
+            self._finals.close(work)
+
     def admit(self, work: Work, now: float, out: list[Action]) -> None:
         """Quarantine and deadline, then the choice of a region."""
         verdict = self._quarantine.admit(work.request.body_digest, now)
--- a/briarspur/work.py
+++ b/briarspur/work.py
@@ -67,6 +67,8 @@
         Bytes of the body already passed to the caller.
     alone : bool
         The request is suspected of crashing backend servers and runs alone on its target.
+    claiming : bool
+        The claim of its foreign key is on its way.
     """
 
     request: Request
@@ -87,6 +89,7 @@
     caller_here: bool = True
     alone: bool = False
     queued: bool = False
+    claiming: bool = False
 
     @property
     def kind(self) -> Kind:
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -23,6 +23,7 @@
     Refusal,
     Refuse,
     Request,
+    SettledClaim,
     TargetAddress,
 )
 from briarspur.metrics import NullMetrics
@@ -112,7 +113,7 @@
             Cancel(n) for n, r in self.requests_by_attempt.items() if r.request_id == request_id
         ]
 
-    def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
+    def claim_settled(self, request_id: str, claim: SettledClaim, now: float) -> list[Action]:
         return []
 
     def outcome_fetched(
@@ -130,8 +131,8 @@
 class FakeKeys:
     """A key store that settles nothing."""
 
-    async def claim(self, key: str, body_digest: bytes) -> ClaimResult:
-        return ClaimResult.UNSETTLED
+    async def claim(self, key: str, body_digest: bytes) -> SettledClaim:
+        return SettledClaim(ClaimResult.UNSETTLED)
 
     async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
         return FetchedOutcome(found=False)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,17 @@
 from briarspur.coord.invariants import invariants
 from briarspur.core import CoreSettings
 from briarspur.members import MemberView
-from briarspur.messages import Answer, Begin, Dispatch, Failure, Forward, Refuse, Reply
+from briarspur.messages import (
+    Answer,
+    Begin,
+    ClaimResult,
+    Dispatch,
+    Failure,
+    Forward,
+    Refuse,
+    Reply,
+    SettledClaim,
+)
 from tests.bench import WALL, Bench, body, make_core, make_view
 
 
@@ -131,6 +141,30 @@
         self.assertTrue(sent.relay_refusals)
         self.assertFalse(sent.dispatch_only)
 
+    def test_foreign_key_claimed_by_another_entry_is_sent_there(self) -> None:
+        """A passenger is told 'outcome unknown' although the booking stands, and books again.
+
+        Two copies with a key of the caller's own reach two entries; the first claims and runs it.
+        """
+        claim = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
+        taken = SettledClaim(ClaimResult.TAKEN, holder=body(2))
+        sent = self.core.claim_settled(claim.request_id, taken, 0.1)[0]
+        self.assertIsInstance(sent, Forward)
+        self.assertEqual(sent.entry.entry_id, "entry-2")
+        self.assertTrue(sent.relay_refusals)
+
+    def test_claim_whose_caller_left_can_still_be_used(self) -> None:
+        """A booking can never be made with its key.
+
+        The caller hangs up while its claim is on the way to the store and comes back; the claim is
+        there, and a second one would be refused.
+        """
+        claim = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
+        self.core.caller_gone(claim.request_id, 0.1)
+        self.core.claim_settled(claim.request_id, SettledClaim(ClaimResult.OURS), 0.2)
+        again = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
+        self.assertIsInstance(again, Dispatch)
+
     def test_key_of_a_gone_entry_is_run_by_nobody(self) -> None:
         """A passenger would be booked twice.
 
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -35,6 +35,7 @@
     def call(self, entry: str, number: int, south: bool) -> None:
         block = 0x0A020001 if south else 1
         self.world.call(entry, None, number, block)
+        self.world.deliver(-1)
 
     @rule(entry=ENTRY)
     def book(self, entry: str) -> None:
@@ -77,6 +78,22 @@
     def finish(self, index: int, outcome: str) -> None:
         self.world.finish_run(index, outcome)
 
+    @precondition(lambda self: self.world.pending_claims)
+    @rule(index=INDEX, reaches_store=st.sampled_from([True, True, True, False]))
+    def settle_claim(self, index: int, reaches_store: bool) -> None:
+        self.world.settle_claim(index, reaches_store)
+
+    @precondition(lambda self: self.world.open_calls)
+    @rule(index=INDEX)
+    def hang_up(self, index: int) -> None:
+        self.world.hang_up(index)
+
+    @precondition(lambda self: self.world.runs)
+    @rule(outcome=OUTCOME)
+    def finish_all(self, outcome: str) -> None:
+        for _ in range(len(self.world.runs)):
+            self.world.finish_run(0, outcome)
+
     @precondition(lambda self: len(self.world.cores) > 1)
     @rule(index=INDEX)
     def kill(self, index: int) -> None:
@@ -93,7 +110,7 @@
     def tell_view(self, entry: str) -> None:
         self.world.tell_views(only=entry)
 
-    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 5.0, 40.0]))
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 5.0, 40.0, 300.0]))
     def wait(self, seconds: float) -> None:
         self.world.advance(seconds)
 
@@ -118,8 +135,10 @@
                 world.start_entry(entry)
         world.tell_views()
         for _ in range(2000):
-            if not (world.hops or world.runs):
+            if not (world.hops or world.runs or world.pending_claims):
                 break
+            if world.pending_claims:
+                world.settle_claim(0, reaches_store=True)
             if world.hops:
                 world.deliver(0)
             if world.runs:
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,6 +31,7 @@
     Refuse,
     Reply,
     Request,
+    SettledClaim,
 )
 from briarspur.policy import Policy, compile_policy, parse_policy
 from tests.bench import body, make_view
@@ -84,6 +85,7 @@
     open_calls: dict[str, str] = field(default_factory=dict)
     key_by_call: dict[str, str] = field(default_factory=dict)
     claims: dict[str, str] = field(default_factory=dict)
+    pending_claims: list[tuple[str, str, Claim]] = field(default_factory=list)
     policy: Policy | None = None
     processes: int = 0
     calls: int = 0
@@ -241,12 +243,16 @@
                     entry_id, action.request_id, Code.ANSWERED, Answer(200, (), b"done")
                 )
             case Claim():
-                self._claim(core, action)
+                self.pending_claims.append((entry_id, core.keys.incarnation, action))
             case FetchOutcome():
                 done = core.outcome_fetched(action.request_id, False, None, self.now)
                 self.carry_out(entry_id, done)
             case Cancel():
-                pass
+                self.runs = [r for r in self.runs if not self._is_run(r, core, action.attempt_id)]
+
+    @staticmethod
+    def _is_run(run: Run, core: Core, attempt_id: int) -> bool:
+        return run.incarnation == core.keys.incarnation and run.attempt_id == attempt_id
 
     def _dispatch(self, core: Core, action: Dispatch) -> None:
         hop = self.hop_by_request.get((core.me, action.request_id))
@@ -283,11 +289,29 @@
             )
         )
 
-    def _claim(self, core: Core, action: Claim) -> None:
-        holder = self.claims.setdefault(action.key, core.keys.incarnation)
-        ours = holder == core.keys.incarnation
-        result = ClaimResult.OURS if ours else ClaimResult.TAKEN
-        self.carry_out(core.me, core.claim_settled(action.request_id, result, self.now))
+    def settle_claim(self, index: int, reaches_store: bool) -> None:
+        """Let one claim reach the store, or none: a claim of an earlier try counts as taken."""
+        entry_id, incarnation, claim = self.pending_claims.pop(index % len(self.pending_claims))
+        settled = SettledClaim(ClaimResult.UNSETTLED)
+        if reaches_store:
+            holder = self.claims.get(claim.key)
+            self.claims.setdefault(claim.key, incarnation)
+            result = ClaimResult.OURS if holder is None else ClaimResult.TAKEN
+            settled = SettledClaim(result, holder)
+        core = self.cores.get(entry_id)
+        if core is not None and core.keys.incarnation == incarnation:
+            self.carry_out(entry_id, core.claim_settled(claim.request_id, settled, self.now))
+
+    def hang_up(self, index: int) -> None:
+        """Let a caller whose request is at an entry go away."""
+        calls = sorted(self.open_calls)
+        call = calls[index % len(calls)]
+        hop = self.hop_by_request.pop((self.open_calls[call], call), None)
+        core = self.cores.get(self.open_calls[call])
+        if hop is not None and core is not None:
+            del self.open_calls[call]
+            self.steps["hang-up"] += 1
+            self.carry_out(core.me, core.caller_gone(call, self.now))
 
     def _answer_hop(
         self, entry_id: str, request_id: str, code: Code, answer: Answer | None
