End attempts at their deadline, whatever they wait for

The core leaves deadlines of requests in flight to its shell, and the shell had none: a silent backend server held its slot and its caller for ever. Found by reading; the new tests waited in vain without the guard.

--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -228,8 +228,23 @@
     def tick(self) -> None:
         """Let the core do what is due."""
         self._wake = None
+        self._end_overdue()
         self.carry_out(self._core.tick(self._clock.seconds(), self._settings.wall()))
 
+    def _end_overdue(self) -> None:
+        """End attempts whose deadline has passed, in whichever phase they are.
+
+        A silent backend server would hold its slot, and a caller that stopped reading its answer
+        would hold that slot for it; nobody would tell the caller. The bound on a region's work
+        rests on this too: what was taken from a borrowed part must end by then.
+        """
+        now = self._clock.seconds()
+        overdue = [a for a in self._attempts_by_id.values() if a.action.deadline <= now]
+        for attempt in overdue:
+            if attempt.attempt_id in self._attempts_by_id:
+                attempt.cancel()
+                self.attempt_failed(attempt, Failure.DEADLINE, None, False)
+
     def carry_out(self, actions: list[Action]) -> None:
         """Carry out actions in order; those of events met on the way come after them."""
         self._actions.extend(actions)
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -12,7 +12,7 @@
 
 
 async def silent(connection: Connection, head: bytes) -> None:
-    await asyncio.sleep(60)
+    await connection.reader.read()
 
 
 async def short(connection: Connection, head: bytes) -> None:
@@ -142,6 +142,59 @@
         self.assertTrue(self.run_on_loop(work()).cut)
 
 
+class DeadlineTest(LoopTestCase):
+    """Nothing is held past its deadline."""
+
+    def read(self, script: object) -> tuple[Read, DirectCore]:
+        async def work() -> tuple[Read, DirectCore]:
+            async with RawBackend(script) as backend:  # type: ignore[arg-type]
+                core = DirectCore(backend.address)
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    read = await caller.get(b"/times/", b"Request-Timeout-Ms: 50\r\n")
+                    self.assertEqual(front.client.open_requests(), 0)
+                    await eventually(lambda: backend.ended == 1)
+                    return read, core
+
+        return self.run_on_loop(work())
+
+    def test_silent_backend_server(self) -> None:
+        """A backend server hangs, and a family waits on the pontoon without a word.
+
+        It took the request and says nothing, its connection stays open. The caller must get a
+        final answer at its deadline, and the backend server must see that nobody waits any more.
+        """
+        read, core = self.read(silent)
+        self.assertEqual(json.loads(read.body)["ran"], "unknown")
+        self.assertEqual(core.events, [("failed", Failure.DEADLINE, None, 0, False, False)])
+
+    def test_body_that_stops_half_way(self) -> None:
+        async def half(connection: Connection, head: bytes) -> None:
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf")
+            await connection.reader.read()
+
+        read, core = self.read(half)
+        self.assertTrue(read.cut)
+        self.assertEqual(core.events[-1], ("failed", Failure.DEADLINE, None, 4, False, False))
+
+    def test_caller_that_stops_reading(self) -> None:
+        async def work() -> None:
+            async def large(connection: Connection, head: bytes) -> None:
+                connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n")
+                for _ in range(1_024):
+                    connection.send(CHUNK)
+                    await connection.writer.drain()
+
+            async with RawBackend(large) as backend:
+                core = DirectCore(backend.address)
+                async with Front(core) as front, RawCaller(front.caller_port) as caller:
+                    caller.writer.write(b"GET /times/ HTTP/1.1\r\nRequest-Timeout-Ms: 300\r\n\r\n")
+                    await eventually(lambda: len(core.events) == 2)
+                    self.assertEqual(front.client.open_requests(), 0)
+                    self.assertEqual(core.events[1][1], Failure.DEADLINE)
+
+        self.run_on_loop(work())
+
+
 class LeavingCallerTest(LoopTestCase):
     """A caller that leaves cancels what may be cancelled."""
 
