--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -56,6 +56,8 @@
         Carries out actions that a change of policy or members brings.
     """
 
+    core_type: type[Core] = Core
+
     def __init__(
         self, settings: EntrySettings, incarnation: str, metrics: Metrics, clock: NodeClock
     ) -> None:
@@ -131,8 +133,7 @@
     def _put_in_force(self, policy: Policy) -> None:
         now = self._clock.monotonic()
         self.policy = policy
-        blocks = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
-        self._blocks = blocks
+        self._blocks = BlockTable.from_prefixes(policy.default_home, policy.homes_by_prefix)
         self.pacing.policy_accepted(policy, now)
         latency_by_service = {
             name: service.objective.latency for name, service in policy.services_by_name.items()
@@ -140,7 +141,7 @@
         self._levels.set_objectives(latency_by_service)
         is_first = self.core is None
         core = self.core or self._make_core(now)
-        actions = core.policy_accepted(policy, blocks.home, now)
+        actions = core.policy_accepted(policy, self.home_of, now)
         if is_first:
             self.on_core(core)
             self._follow_plan()
@@ -157,7 +158,7 @@
             queue_limit=self.settings.limits.queued,
             remembered_keys=self.settings.limits.remembered_keys,
         )
-        self.core = Core(
+        self.core = self.core_type(
             self.settings.entry_id, self.region, self.incarnation, rng, now, core_settings
         )
         self._meter = LoadMeter(self.settings.entry_id, self.incarnation, self.region)
@@ -175,6 +176,15 @@
         if self.policy is not None:
             self._lookups = LookupTable(self.policy, self.view, core.rule)
 
+    def take_blocks(self, blocks: BlockTable) -> None:
+        """Use a table of blocks in place of the prefixes in the policy."""
+        self._blocks = blocks
+
+    def home_of(self, block: int) -> str:
+        """Return the home region of a block of clients."""
+        assert self._blocks is not None
+        return self._blocks.home(block)
+
     # Look-ups
 
     def look_up(self, service: str, block: int) -> Result[bytes, Refusal]:
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -7,8 +7,12 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from briarspur import logs
 from briarspur.coord.errors import StoreError
+from briarspur.coord.joining import Joining
 from briarspur.coord.members import Address, MemberState, Probe, ProbeOut, Reply
 from briarspur.coord.membership import Membership
 from briarspur.core import Core
@@ -84,7 +88,10 @@
         self._clock = clock
         self._rng = rng
         self._times = times
+        self._joining = Joining(times.period)
         self._shown_version = -1
+        self._view_is_held = False
+        self._stopped = False
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -96,6 +103,10 @@
 
     def probed(self, probe: PeerProbe) -> PeerReply:
         """Answer a probe."""
+        if self._stopped:
+            # A kept connection may outlive the listening port; its last answers would keep a
+            # stopped entry in the view of the others.
+            raise GRPCError(Status.UNAVAILABLE, "stopped")
         now = self._clock()
         updates = self._membership.on_probe(Probe(probe.sender, probe.gossip.updates), now)
         self._heard(probe.sender, probe.gossip)
@@ -152,19 +163,44 @@
                 listed = await self._vms.read()
                 addresses = [Address(vm.host, vm.peer_port) for vm in listed]
                 self._membership.candidates(addresses, self._clock())
+                self.show_view()
             except StoreError as error:
                 logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
             await asyncio.sleep(self._times.list_interval * (0.5 + self._rng.random()))
 
     def leave(self) -> None:
-        """Say that this entry takes no new work, and tell some others at once."""
-        now = self._clock()
-        self._membership.leave(now)
+        """Say that this entry takes no new work, to its whole region at once.
+
+        The others take its targets over as they hear of it. If this entry let go of them before
+        that, nobody would own them for up to some probe periods, and callers would be refused in
+        the middle of a planned stop. So its own view follows when the region has answered.
+        """
+        self._membership.leave(self._clock())
+        self._view_is_held = True
+        task = asyncio.get_running_loop().create_task(
+            self._announce(self._membership.probes_of_region())
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _announce(self, probes: list[ProbeOut]) -> None:
+        """Send probes and wait for the replies, but no longer than one period."""
+        sending = [asyncio.ensure_future(self._probe(probe)) for probe in probes]
+        if sending:
+            await asyncio.wait(sending, timeout=self._times.period)
+        self._view_is_held = False
         self.show_view()
-        self._send(self._membership.tick(now))
+
+    def stop(self) -> None:
+        """Answer no more probes."""
+        self._stopped = True
 
     def show_view(self) -> None:
-        """Hand on the view of the live entries if it changed."""
+        """Hand on the view of the live entries if it changed, once there is one to trust."""
+        membership = self._membership
+        unheard, has_contact = membership.unheard(), membership.has_contact()
+        if not self._joining.joined(has_contact, unheard, self._clock()) or self._view_is_held:
+            return
         if self._membership.view_version == self._shown_version:
             return
         self._shown_version = self._membership.view_version
