--- a/briarspur/follow.py
+++ b/briarspur/follow.py
@@ -160,15 +160,17 @@
             return True
         watched = self._spread.watches(name)
         pause = asyncio.ensure_future(self._sleep(turn.pause))
+        changed = asyncio.ensure_future(self._members_changed.wait())
         try:
-            while not pause.done():
-                changed = asyncio.ensure_future(self._members_changed.wait())
+            while True:
                 await asyncio.wait([changed, pause], return_when=asyncio.FIRST_COMPLETED)
-                changed.cancel()
+                if pause.done():
+                    return True
                 if self._spread.watches(name) and not watched:
                     return False
-            return True
+                changed = asyncio.ensure_future(self._members_changed.wait())
         finally:
+            changed.cancel()
             pause.cancel()
 
     async def _call(self, follower: Follower[Any], kind: CallKind) -> StoredObject | None:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -53,7 +53,7 @@
 
     async def add(self, me: str) -> Follow:
         self.followers[me] = Follower("policy", read)
-        store = DeafStore(self.store, lambda: me in self.deaf)
+        store = StoreOfOne(self, me)
         follow = Follow(
             me, self.zones[me], store, self, [self.followers[me]], random.Random(hash_of(me))
         )
@@ -77,6 +77,12 @@
                     self.follows[peer].heard(me, follow.versions())
             await asyncio.sleep(1.0)
 
+    def pause_watchers(self) -> None:
+        """Suspend every watcher; the others go on counting them as live."""
+        for me, follow in self.follows.items():
+            if follow._spread.watches("policy"):
+                self.paused.add(me)
+
     def versions(self) -> set[int]:
         return {f.version for me, f in self.followers.items() if me not in self.paused}
 
@@ -89,20 +95,29 @@
         return asyncio.get_running_loop().time() - start
 
 
-class DeafStore(MemoryStore):
-    """One process's way to the store; while deaf, its watches never see a change."""
+class StoreOfOne(MemoryStore):
+    """One entry's way to the store: deaf, its watches see nothing; paused, no call returns."""
 
-    def __init__(self, store: MemoryStore, deaf: Callable[[], bool]) -> None:
+    def __init__(self, fleet: Fleet, me: str) -> None:
         super().__init__()
-        self.store = store
-        self.is_deaf = deaf
+        self.fleet = fleet
+        self.me = me
+
+    async def pause(self) -> None:
+        while self.me in self.fleet.paused:
+            await asyncio.sleep(1.0)
 
     async def get(self, name: str) -> StoredObject | None:
-        return await self.store.get(name)
+        await self.pause()
+        return await self.fleet.store.get(name)
 
     async def watch(self, name: str, newer_than: int, wait: float) -> StoredObject | None:
-        found = await self.store.watch(name, newer_than, wait)
-        return None if self.is_deaf() else found
+        await self.pause()
+        if self.me in self.fleet.deaf:
+            newer_than = 1_000_000
+        found = await self.fleet.store.watch(name, newer_than, wait)
+        await self.pause()
+        return found
 
 
 def hash_of(me: str) -> int:
@@ -147,6 +162,7 @@
 
         async def story(fleet: Fleet) -> None:
             fleet.deaf.update(fleet.follows)
+            await asyncio.sleep(15.0)
             await fleet.store.put("policy", b"second", 1)
             await fleet.reaches(2)
 
@@ -156,10 +172,7 @@
         """All watchers of a zone are suspended; membership still counts them as live."""
 
         async def story(fleet: Fleet) -> None:
-            for me, follow in fleet.follows.items():
-                if follow._spread.watches("policy"):
-                    fleet.paused.add(me)
-                    fleet.deaf.add(me)
+            fleet.pause_watchers()
             await fleet.store.put("policy", b"second", 1)
             await fleet.reaches(2)
 
