Follow policy and plan by watchers of rank; begin from peers while the store is out

Each entry watched both objects, which at 1,700 entries is 3,400 waiting calls and as many at once after an outage. Entries now follow them by follow.Follow, which replaces InForce and ObjectWatch; the tests of InForce run unchanged in substance against it (tests/test_follow.py, CopiesTest).

A version that is not valid was fetched again with every heartbeat of whoever had it; it is remembered now. A fresh process could not hear peers before it had a policy, so in an outage of the store it stayed unready; it now asks three of the listed entries and takes the newest. A lease holder's fence is no longer logged as a rejected plan on every entry.

--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -7,25 +7,30 @@
 import random
 import secrets
 import sys
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, cast
 
+from expression import Error, Ok, Result
+
 from briarspur import logs
 from briarspur.backend import BackendClient
 from briarspur.carry import Carrier, CarrySettings
 from briarspur.coord.claims import Claims
 from briarspur.coord.errors import StoreConflictError, StoreError
-from briarspur.coord.members import Member
+from briarspur.coord.follower import Follower
+from briarspur.coord.members import Address, Member
 from briarspur.coord.membership import Membership
 from briarspur.coord.outcomes import OutcomePage, outcomes_of
-from briarspur.coord.store import ABSENT
+from briarspur.coord.store import ABSENT, StoredObject
 from briarspur.core import Core
 from briarspur.daemon import run
-from briarspur.inforce import InForce
+from briarspur.follow import Follow
 from briarspur.keystore import ObjectKeyStore
+from briarspur.members import MemberView
 from briarspur.metrics import Metrics, NullMetrics, StatsdMetrics
 from briarspur.node import EntryNode, NodeClock
 from briarspur.notready import NotReady
+from briarspur.objectpeers import MemberPeers, newest_copy
 from briarspur.objects import HttpObjectStore, VmList
 from briarspur.peering import Peering, PeeringTimes
 from briarspur.peers import PeerClient, PeerServer
@@ -34,7 +39,6 @@
 from briarspur.server import EntryServer, ServerSettings
 from briarspur.settings import EntrySettings
 from briarspur.stopping import GracefulStop
-from briarspur.watching import ObjectWatch
 
 __all__ = ["EntryDaemon", "main"]
 
@@ -46,6 +50,11 @@
 OUTCOME_PAUSE = 0.5
 """Tries to write a page of outcomes, and the seconds between two of them."""
 
+BOOTSTRAP_PAUSE = 1.0
+BOOTSTRAP_PEERS = 3
+"""Mean seconds between two rounds of asking other entries, and how many must answer, when the store
+is out and this process has no policy yet."""
+
 
 class EntryDaemon:
     """One entry process."""
@@ -74,9 +83,7 @@
             self._metrics = StatsdMetrics(settings.statsd)
         self.node = self.node_type(settings, self._incarnation, self._metrics, self._clock)
         self.node.on_core = self._core_made
-        self._in_force = InForce(
-            {POLICY_NAME: self.node.policy_stored, PLAN_NAME: self.node.plan_stored}
-        )
+        self._follow = self._make_follow()
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
@@ -94,9 +101,8 @@
         settings = self.settings
         ports = self._server.listen(settings.host, settings.caller_port, settings.forward_port)
         self._caller_port, self._forward_port = ports
-        for name in (POLICY_NAME, PLAN_NAME):
-            watch = ObjectWatch(self.store, name, self._in_force.take, self._rng)
-            self._start(watch.run())
+        await self._follow.__aenter__()
+        self._start(self._ask_peers())
 
     @property
     def caller_port(self) -> int:
@@ -126,6 +132,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._follow.__aexit__()
         if self._peering is not None and self._peer_server is not None:
             self._peering.stop()
             await self._peer_server.close()
@@ -231,7 +238,7 @@
         return Peering(
             membership=Membership(me, self._rng, number=number, now=now),
             core=core,
-            in_force=self._in_force,
+            follow=self._follow,
             client=self._peers,
             vms=self._vms,
             on_view=self.node.view_changed,
@@ -241,6 +248,38 @@
             times=PeeringTimes(period=settings.probe_interval_s),
         )
 
+    def _make_follow(self) -> Follow:
+        takers_by_name = {
+            POLICY_NAME: self.node.policy_stored,
+            PLAN_NAME: self.node.plan_stored,
+        }
+        followers = [Follower(name, _reader(take)) for name, take in takers_by_name.items()]
+        peers = MemberPeers(self._peers, self._address_of)
+        settings = self.settings
+        return Follow(settings.entry_id, settings.zone, self.store, peers, followers, self._rng)
+
+    def _address_of(self, entry_id: str) -> Address | None:
+        return self._peering.address_of(entry_id) if self._peering is not None else None
+
+    def _view_changed(self, view: MemberView) -> None:
+        self.node.view_changed(view)
+        self._follow.members_changed(
+            {i: member.zone for i, member in view.by_id.items() if not member.leaving}
+        )
+
+    async def _ask_peers(self) -> None:
+        """Take the policy from other entries if the store is out when this process begins."""
+        me = Address(self.settings.host, self.settings.peer_port)
+        while self.node.policy is None:
+            await asyncio.sleep(BOOTSTRAP_PAUSE * (0.5 + self._rng.random()))
+            if not self._follow.store_fails(POLICY_NAME):
+                continue
+            copy = await newest_copy(
+                self._peers, self._vms, me, POLICY_NAME, BOOTSTRAP_PEERS, self._rng
+            )
+            if copy is not None:
+                self._follow.offered(copy)
+
     def _connections_of(self, target_id: str) -> int:
         policy = self.node.policy
         target = policy.targets_by_id.get(target_id) if policy is not None else None
@@ -258,6 +297,15 @@
                 logs.event("internal-error", logging.ERROR, error=repr(error))
 
 
+def _reader(take: Callable[[StoredObject], bool]) -> Callable[[StoredObject], Result[None, str]]:
+    """Return a follower's reader that puts a valid version in force by ``take``."""
+
+    def read(stored: StoredObject) -> Result[None, str]:
+        return Ok(None) if take(stored) else Error("not valid here; see the log")
+
+    return read
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the entry."""
     return run("briarspur-entry", EntrySettings, EntryDaemon, argv)
--- a/briarspur/follow.py
+++ b/briarspur/follow.py
@@ -99,6 +99,10 @@
         wanted = any(follower.wants(version) for version in self._wanted_by_name[name].values())
         return self._readiness_by_name[name].is_ready(follower.version, wanted, self._peer_count)
 
+    def store_fails(self, name: str) -> bool:
+        """Whether the last call of the store for an object failed."""
+        return self._readiness_by_name[name].store_failed
+
     def versions(self) -> tuple[ObjectVersion, ...]:
         """Return the versions in force, for the heartbeats."""
         return tuple(
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -110,10 +110,17 @@
         envelope = open_envelope(stored.value)
         if envelope.is_error():
             return self._reject(stored, envelope.error)
+        if not envelope.ok.body:
+            # A new lease holder raised the term of a plan that was never written.
+            return False
         try:
             plan = parse_plan(envelope.ok.body)
         except DocumentError as error:
             return self._reject(stored, str(error))
+        if plan == self._plans.in_force:
+            # A new lease holder rewrote the plan under its own term before it makes one.
+            self.plan_version = stored.version
+            return True
         if not self._plans.accept(plan):
             return self._reject(stored, f"term {plan.term} is not newer than what is in force")
         self.plan_version = stored.version
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -17,8 +17,8 @@
 from briarspur.coord.membership import Membership
 from briarspur.core import Core
 from briarspur.errors import PeerError
+from briarspur.follow import Follow
 from briarspur.gossip import BorrowAsked, Gossip, ObjectCopy, PeerProbe, PeerReply
-from briarspur.inforce import InForce
 from briarspur.loadreport import LOAD_NAME
 from briarspur.members import MemberView, ViewedMember
 from briarspur.messages import EntryAddress
@@ -69,7 +69,7 @@
         self,
         membership: Membership,
         core: Core,
-        in_force: InForce,
+        follow: Follow,
         client: PeerClient,
         vms: VmReader,
         on_view: Callable[[MemberView], None],
@@ -80,7 +80,7 @@
     ) -> None:
         self._membership = membership
         self._core = core
-        self._in_force = in_force
+        self._follow = follow
         self._client = client
         self._vms = vms
         self._on_view = on_view
@@ -92,7 +92,6 @@
         self._shown_version = -1
         self._view_is_held = False
         self._stopped = False
-        self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -132,11 +131,11 @@
         """Return the object if the version in force here is above ``newer_than``."""
         if name == LOAD_NAME:
             return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
-        return self._in_force.copy(name, newer_than)
+        return self._follow.copy(name, newer_than)
 
     async def offered(self, copy: ObjectCopy) -> int:
         """Take an object, if it is newer; return the version in force here afterwards."""
-        return self._in_force.offered(copy)
+        return self._follow.offered(copy)
 
     def asked_to_lend(self, asked: BorrowAsked) -> int:
         """Grant a part of a limit; return how much."""
@@ -168,6 +167,11 @@
                 logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
             await asyncio.sleep(self._times.list_interval * (0.5 + self._rng.random()))
 
+    def address_of(self, entry_id: str) -> Address | None:
+        """Return the address of a member, None if it is not known."""
+        member = self._membership.member(entry_id)
+        return member.address if member is not None else None
+
     def leave(self) -> None:
         """Say that this entry takes no new work, to its whole region at once.
 
@@ -225,18 +229,12 @@
 
     def _gossip(self, updates: tuple[Any, ...]) -> Gossip:
         news = self._core.exchange.news(self._clock())
-        return Gossip(updates, self._in_force.versions(), news)
+        return Gossip(updates, self._follow.versions(), news)
 
     def _heard(self, sender: str, gossip: Gossip) -> None:
         self._core.exchange.heard(gossip.news, self._clock())
         self.show_view()
-        member = self._membership.member(sender)
-        if member is None:
-            return
-        for name in self._in_force.newer_abroad(gossip.objects):
-            if name not in self._fetching:
-                self._fetching.add(name)
-                self._start(self._fetch(member.address, name))
+        self._follow.heard(sender, gossip.objects)
 
     def _send(self, probes: list[ProbeOut]) -> None:
         for probe in probes:
@@ -255,16 +253,6 @@
         self._heard(reply.sender, reply.gossip)
         self._send(more)
 
-    async def _fetch(self, address: Address, name: str) -> None:
-        try:
-            copy = await self._client.fetch(address, name, self._in_force.version(name))
-            if copy is not None:
-                self._in_force.offered(copy)
-        except PeerError as error:
-            logs.event("peer-unavailable", logging.DEBUG, object=name, error=str(error))
-        finally:
-            self._fetching.discard(name)
-
     def _borrow(self, now: float) -> None:
         view = self._core.view
         wanted = self._core.exchange.borrow_wanted(view, self._rng, now)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from briarspur.coord.keys import make_prefix
+from briarspur.coord.memorystore import MemoryStore
 from briarspur.documents import parse
 from briarspur.entry import EntryDaemon
 from briarspur.policy import PolicyDocument
@@ -240,6 +241,28 @@
 
         self.run_on_loop(work())
 
+    def test_fresh_entry_begins_while_the_store_is_out(self) -> None:
+        """A VM is replaced in an outage of the store, and its callers wait for minutes.
+
+        The VM list still answers; the other entry has the policy.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=2) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                await whole.daemons[1].stop()
+                fresh = EntryDaemon(whole.daemons[1].settings)
+                out = MemoryStore()
+                out.stop()
+                fresh._follow._store = out
+                await fresh.start()
+                await eventually(fresh.is_ready)
+                self.assertEqual(fresh.policy_version(), whole.daemon.policy_version())
+                await asyncio.gather(fresh.stop(), whole.daemon.stop())
+
+        self.run_on_loop(work())
+
     def test_leaving_entry_serves_on_and_its_outcomes_are_found(self) -> None:
         """An entry is replaced while callers still have it in their look-ups.
 
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -1,15 +1,17 @@
 """Stories of a configuration that is in force everywhere within seconds, and never reverts."""
 
 import asyncio
+import hashlib
 import logging
 import random
 import unittest
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
-from briarspur.coord.follower import Follower
+from briarspur.coord.follower import Follower, Taken
 from briarspur.coord.invariants import invariants
 from briarspur.coord.memorystore import MemoryStore
 from briarspur.coord.store import StoredObject
@@ -124,6 +126,50 @@
     return int(me[1:])
 
 
+class CopiesTest(unittest.TestCase):
+    """What is handed on to peers, and taken from them; no store is called."""
+
+    def setUp(self) -> None:
+        self.taken: list[int] = []
+        self.follower = Follower("policy", self.take)
+        fleet = Fleet(1)
+        self.follow = Follow("e0", ZONES[0], fleet.store, fleet, [self.follower], random.Random(1))
+
+    def take(self, stored: StoredObject) -> Result[None, str]:
+        self.taken.append(stored.version)
+        return Error("bad") if stored.value == b"bad" else Ok(None)
+
+    def offer(self, version: int, value: bytes) -> int:
+        digest = hashlib.sha256(value).digest()
+        return self.follow.offered(ObjectCopy("policy", version, digest, value))
+
+    def test_late_read_does_not_revert(self) -> None:
+        """An operator drains a server, and seconds later it gets work again.
+
+        A read of the store that shows the past, or a copy from an entry that was cut off, comes
+        after the newer version. Taken, it would undo the drain.
+        """
+        for version in (1, 3, 2, 3, 1):
+            self.offer(version, b"v%d" % version)
+        self.assertEqual(self.taken, [1, 3])
+        self.assertEqual(self.follower.version, 3)
+        self.assertEqual(self.follower.counts[Taken.OLD], 2)
+
+    def test_invalid_version_is_not_handed_on(self) -> None:
+        self.offer(1, b"good")
+        self.assertEqual(self.offer(2, b"bad"), 1)
+        copy = self.follow.copy("policy", 0)
+        assert copy is not None
+        self.assertEqual((copy.version, copy.value), (1, b"good"))
+
+    def test_damaged_copy_is_not_taken(self) -> None:
+        self.offer(1, b"good")
+        copy = self.follow.copy("policy", 0)
+        assert copy is not None
+        self.assertEqual(self.follow.offered(replace(copy, version=2, value=b"cut")), 1)
+        self.assertEqual(self.follow.offered(replace(copy, version=2)), 2)
+
+
 class FollowTest(unittest.TestCase):
     """Thirty entries in three zones."""
 
--- /dev/null
+++ b/tests/test_objectpeers.py
@@ -0,0 +1,63 @@
+"""Tests of the policy that a fresh process gets from other entries."""
+
+import random
+import unittest
+from types import SimpleNamespace
+from typing import Any, cast
+
+from briarspur.coord.errors import StoreUnavailableError
+from briarspur.coord.members import Address
+from briarspur.errors import PeerError
+from briarspur.gossip import ObjectCopy
+from briarspur.objectpeers import MemberPeers, newest_copy
+from briarspur.peers import PeerClient
+
+ME = Address("127.0.0.1", 1)
+
+
+class Entries:
+    """Entries by port with the version each has; None for one that does not answer."""
+
+    def __init__(self, *versions: int | None) -> None:
+        self.versions_by_port = dict(enumerate(versions, 1))
+        self.asked: list[int] = []
+        self.list_is_out = False
+
+    async def read(self) -> list[Any]:
+        if self.list_is_out:
+            raise StoreUnavailableError("out")
+        return [SimpleNamespace(host=ME.host, peer_port=port) for port in self.versions_by_port]
+
+    async def fetch(self, address: Address, name: str, newer_than: int) -> ObjectCopy | None:
+        version = self.versions_by_port[address.port]
+        if version is None:
+            raise PeerError("gone")
+        self.asked.append(address.port)
+        return ObjectCopy(name, version, b"", b"") if version > newer_than else None
+
+
+class NewestCopyTest(unittest.IsolatedAsyncioTestCase):
+    """Several entries are asked, since one alone may be behind."""
+
+    async def newest(self, entries: Entries) -> int | None:
+        client = cast(PeerClient, entries)
+        found = await newest_copy(client, entries, ME, "policy", 3, random.Random(1))
+        return found.version if found is not None else None
+
+    async def test_highest_of_three_that_answer(self) -> None:
+        entries = Entries(9, 4, 5, None, 4, None, 4)
+        self.assertIn(await self.newest(entries), (4, 5))
+        self.assertEqual(len(entries.asked), 3)
+        self.assertNotIn(ME.port, entries.asked)
+        self.assertEqual(await self.newest(Entries(0, 4, 5, None)), 5)
+
+    async def test_nobody_has_one(self) -> None:
+        self.assertIsNone(await self.newest(Entries(0, 0, None)))
+        entries = Entries(0, 4)
+        entries.list_is_out = True
+        self.assertIsNone(await self.newest(entries))
+
+    async def test_unknown_member(self) -> None:
+        peers = MemberPeers(cast(PeerClient, Entries(0)), lambda entry: None)
+        with self.assertRaises(PeerError):
+            await peers.fetch("gone", "policy", 0)
