--- a/briarspur/follow.py
+++ b/briarspur/follow.py
@@ -99,6 +99,10 @@
         wanted = any(follower.wants(version) for version in self._wanted_by_name[name].values())
         return self._readiness_by_name[name].is_ready(follower.version, wanted, self._peer_count)
 
+    def store_fails(self, name: str) -> bool:
+        """Whether the last call of the store for an object failed."""
+        return self._readiness_by_name[name].store_failed
+
     def versions(self) -> tuple[ObjectVersion, ...]:
         """Return the versions in force, for the heartbeats."""
         return tuple(
@@ -160,15 +164,17 @@
             return True
         watched = self._spread.watches(name)
         pause = asyncio.ensure_future(self._sleep(turn.pause))
+        changed = asyncio.ensure_future(self._members_changed.wait())
         try:
-            while not pause.done():
-                changed = asyncio.ensure_future(self._members_changed.wait())
+            while True:
                 await asyncio.wait([changed, pause], return_when=asyncio.FIRST_COMPLETED)
-                changed.cancel()
+                if pause.done():
+                    return True
                 if self._spread.watches(name) and not watched:
                     return False
-            return True
+                changed = asyncio.ensure_future(self._members_changed.wait())
         finally:
+            changed.cancel()
             pause.cancel()
 
     async def _call(self, follower: Follower[Any], kind: CallKind) -> StoredObject | None:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -1,15 +1,17 @@
 """Stories of a configuration that is in force everywhere within seconds, and never reverts."""
 
 import asyncio
+import hashlib
 import logging
 import random
 import unittest
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
-from briarspur.coord.follower import Follower
+from briarspur.coord.follower import Follower, Taken
 from briarspur.coord.invariants import invariants
 from briarspur.coord.memorystore import MemoryStore
 from briarspur.coord.store import StoredObject
@@ -53,7 +55,7 @@
 
     async def add(self, me: str) -> Follow:
         self.followers[me] = Follower("policy", read)
-        store = DeafStore(self.store, lambda: me in self.deaf)
+        store = StoreOfOne(self, me)
         follow = Follow(
             me, self.zones[me], store, self, [self.followers[me]], random.Random(hash_of(me))
         )
@@ -77,6 +79,12 @@
                     self.follows[peer].heard(me, follow.versions())
             await asyncio.sleep(1.0)
 
+    def pause_watchers(self) -> None:
+        """Suspend every watcher; the others go on counting them as live."""
+        for me, follow in self.follows.items():
+            if follow._spread.watches("policy"):
+                self.paused.add(me)
+
     def versions(self) -> set[int]:
         return {f.version for me, f in self.followers.items() if me not in self.paused}
 
@@ -89,26 +97,79 @@
         return asyncio.get_running_loop().time() - start
 
 
-class DeafStore(MemoryStore):
-    """One process's way to the store; while deaf, its watches never see a change."""
+class StoreOfOne(MemoryStore):
+    """One entry's way to the store: deaf, its watches see nothing; paused, no call returns."""
 
-    def __init__(self, store: MemoryStore, deaf: Callable[[], bool]) -> None:
+    def __init__(self, fleet: Fleet, me: str) -> None:
         super().__init__()
-        self.store = store
-        self.is_deaf = deaf
+        self.fleet = fleet
+        self.me = me
+
+    async def pause(self) -> None:
+        while self.me in self.fleet.paused:
+            await asyncio.sleep(1.0)
 
     async def get(self, name: str) -> StoredObject | None:
-        return await self.store.get(name)
+        await self.pause()
+        return await self.fleet.store.get(name)
 
     async def watch(self, name: str, newer_than: int, wait: float) -> StoredObject | None:
-        found = await self.store.watch(name, newer_than, wait)
-        return None if self.is_deaf() else found
+        await self.pause()
+        if self.me in self.fleet.deaf:
+            newer_than = 1_000_000
+        found = await self.fleet.store.watch(name, newer_than, wait)
+        await self.pause()
+        return found
 
 
 def hash_of(me: str) -> int:
     return int(me[1:])
 
 
+class CopiesTest(unittest.TestCase):
+    """What is handed on to peers, and taken from them; no store is called."""
+
+    def setUp(self) -> None:
+        self.taken: list[int] = []
+        self.follower = Follower("policy", self.take)
+        fleet = Fleet(1)
+        self.follow = Follow("e0", ZONES[0], fleet.store, fleet, [self.follower], random.Random(1))
+
+    def take(self, stored: StoredObject) -> Result[None, str]:
+        self.taken.append(stored.version)
+        return Error("bad") if stored.value == b"bad" else Ok(None)
+
+    def offer(self, version: int, value: bytes) -> int:
+        digest = hashlib.sha256(value).digest()
+        return self.follow.offered(ObjectCopy("policy", version, digest, value))
+
+    def test_late_read_does_not_revert(self) -> None:
+        """An operator drains a server, and seconds later it gets work again.
+
+        A read of the store that shows the past, or a copy from an entry that was cut off, comes
+        after the newer version. Taken, it would undo the drain.
+        """
+        for version in (1, 3, 2, 3, 1):
+            self.offer(version, b"v%d" % version)
+        self.assertEqual(self.taken, [1, 3])
+        self.assertEqual(self.follower.version, 3)
+        self.assertEqual(self.follower.counts[Taken.OLD], 2)
+
+    def test_invalid_version_is_not_handed_on(self) -> None:
+        self.offer(1, b"good")
+        self.assertEqual(self.offer(2, b"bad"), 1)
+        copy = self.follow.copy("policy", 0)
+        assert copy is not None
+        self.assertEqual((copy.version, copy.value), (1, b"good"))
+
+    def test_damaged_copy_is_not_taken(self) -> None:
+        self.offer(1, b"good")
+        copy = self.follow.copy("policy", 0)
+        assert copy is not None
+        self.assertEqual(self.follow.offered(replace(copy, version=2, value=b"cut")), 1)
+        self.assertEqual(self.follow.offered(replace(copy, version=2)), 2)
+
+
 class FollowTest(unittest.TestCase):
     """Thirty entries in three zones."""
 
@@ -147,6 +208,7 @@
 
         async def story(fleet: Fleet) -> None:
             fleet.deaf.update(fleet.follows)
+            await asyncio.sleep(15.0)
             await fleet.store.put("policy", b"second", 1)
             await fleet.reaches(2)
 
@@ -156,10 +218,7 @@
         """All watchers of a zone are suspended; membership still counts them as live."""
 
         async def story(fleet: Fleet) -> None:
-            for me, follow in fleet.follows.items():
-                if follow._spread.watches("policy"):
-                    fleet.paused.add(me)
-                    fleet.deaf.add(me)
+            fleet.pause_watchers()
             await fleet.store.put("policy", b"second", 1)
             await fleet.reaches(2)
 
