Callers of many blocks, each with its own look-ups

Cause of a false finding: the callers of a region came from one address, so one block, and all of them got the same first entry.

--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -8,6 +8,7 @@
 import math
 import os
 import random
+import sys
 import tempfile
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -92,11 +93,18 @@
         if lost != "none":
             self._lose(lost)
         report = system.finish_callers(CALLERS_END_S)
+        self._explain(report)
         return self._cell(load, lost, report)
 
+    def _explain(self, report: Report) -> None:
+        """Show on standard error which codes and latencies each service had."""
+        for load, codes in report.codes_by_load.items():
+            tail = ", ".join(f"p{p} {report.milliseconds(load, p):.0f}" for p in (50, 90, 99))
+            print(f"  {load}: {dict(codes)}, ms: {tail}", file=sys.stderr, flush=True)
+
     def _loads(self, share: float) -> list[Load]:
         """Return the loads of each region's callers at a share of the capacity."""
-        regions = len(self._system.deployment.standins.caller_hosts_by_region)
+        regions = len(self._system.deployment.standins.caller_networks_by_region)
         loads = []
         for service, capacity in self._capacity_by_service.items():
             download = service in DOWNLOADS
