Entries connect from their own address, so that delays by zone and region can be set

The stand-ins knew every entry as 127.0.0.1 and added no delay between entries and backend servers. One endpoint class now serves the store's client, the backend client and the stand-in caller.

--- a/briarspur/backend.py
+++ b/briarspur/backend.py
@@ -136,9 +136,16 @@
         The reactor of the one loop.
     connect_timeout : float
         Seconds to wait for a connection.
+    source : str or None
+        IP number to connect from.
     """
 
-    def __init__(self, reactor: IReactorTCP, connect_timeout: float = CONNECT_TIMEOUT) -> None:
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        connect_timeout: float = CONNECT_TIMEOUT,
+        source: str | None = None,
+    ) -> None:
         self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor)
         # Twisted would send a GET, HEAD, PUT-less DELETE again by itself when a kept connection
@@ -148,7 +155,7 @@
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = MOST_KEPT
         self._pool.cachedConnectionTimeout = KEPT_CONNECTION_LIFETIME
-        self._endpoints = NumberEndpoints(reactor, connect_timeout)
+        self._endpoints = NumberEndpoints(reactor, connect_timeout, source)
         self._open_by_address: Counter[tuple[str, int]] = Counter()
 
     def send(self, outgoing: Outgoing, events: AttemptEvents) -> "Attempt":
--- a/briarspur/endpoints.py
+++ b/briarspur/endpoints.py
@@ -10,6 +10,8 @@
 
 __all__ = ["NumberEndpoints"]
 
+ANY_PORT = 0
+
 
 @implementer(IAgentEndpointFactory)
 class NumberEndpoints:
@@ -22,16 +24,20 @@
     ----------
     timeout : float
         Seconds to wait for a connection.
+    source : str or None
+        IP number to connect from; None leaves the choice to the system.
     """
 
-    def __init__(self, reactor: IReactorTCP, timeout: float) -> None:
+    def __init__(self, reactor: IReactorTCP, timeout: float, source: str | None = None) -> None:
         self._reactor = reactor
         self._timeout = timeout
+        self._bind_address = None if source is None else (source, ANY_PORT)
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:  # noqa: N802
         """Return the endpoint of an address."""
-        host = uri.host.decode("ascii")
+        host = uri.host.decode("ascii").strip("[]")
         kind = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return cast(
-            IStreamClientEndpoint, kind(self._reactor, host, uri.port, timeout=self._timeout)
+        endpoint = kind(
+            self._reactor, host, uri.port, timeout=self._timeout, bindAddress=self._bind_address
         )
+        return cast(IStreamClientEndpoint, endpoint)
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -38,6 +38,7 @@
 
 __all__ = ["EntryDaemon", "main"]
 
+ANY_HOST = ("0.0.0.0", "::")
 DEFAULT_CONNECTIONS = 350
 """Bound on open connections to a target the policy no longer names."""
 LEAVE_SPREAD_PROBES = 5
@@ -61,7 +62,9 @@
         self._clock = NodeClock(monotonic=self._reactor.seconds)
         self.store = HttpObjectStore(settings.platform)
         self._vms = VmList(settings.platform)
-        self._client = BackendClient(self._reactor)
+        # Backend servers then see each entry at the address that the VM list gives for it.
+        source = None if settings.host in ANY_HOST else settings.host
+        self._client = BackendClient(self._reactor, source=source)
         self._peers = PeerClient()
         self._peering: Peering | None = None
         self._peer_server: PeerServer | None = None
--- a/briarspur/platform.py
+++ b/briarspur/platform.py
@@ -9,15 +9,15 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.error import ConnectError, DNSLookupError
 from twisted.web._newclient import RequestNotSent
-from twisted.web.client import URI, Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
 from briarspur.coord.store import ABSENT
+from briarspur.endpoints import NumberEndpoints
 from briarspur.settings import PlatformSettings
 
 __all__ = ["NoAnswerError", "NotSentError", "PlatformClient", "Response"]
@@ -87,20 +87,6 @@
         pass
 
 
-@implementer(IAgentEndpointFactory)
-class _NumberEndpoints:
-    """Endpoints for IP numbers; nothing is resolved, so no thread is needed."""
-
-    def __init__(self, reactor: Any, timeout: float) -> None:
-        self._reactor = reactor
-        self._timeout = timeout
-
-    def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
-        host = uri.host.decode().strip("[]")
-        endpoint = TCP6ClientEndpoint if ":" in host else TCP4ClientEndpoint
-        return endpoint(self._reactor, host, uri.port, timeout=self._timeout)
-
-
 class PlatformClient:
     """Calls over kept connections, each with a timeout; owns its connections."""
 
@@ -116,7 +102,7 @@
         # The pool would repeat a DELETE on a broken connection. A first one that took effect unseen
         # would turn the repeat into a conflict, and the caller would believe that it never wrote.
         self._pool.retryAutomatically = False
-        endpoints = _NumberEndpoints(reactor, settings.timeout_s)
+        endpoints = NumberEndpoints(reactor, settings.timeout_s)
         self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool=self._pool)
 
     async def close(self) -> None:
--- a/standins/callhttp.py
+++ b/standins/callhttp.py
@@ -4,15 +4,14 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Protocol
-from twisted.web.client import URI, Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IAgentEndpointFactory
-from zope.interface import implementer
+
+from briarspur.endpoints import NumberEndpoints
 
 __all__ = ["CallHttp", "Got"]
 
@@ -73,24 +72,6 @@
             transport.loseConnection()
 
 
-@implementer(IAgentEndpointFactory)
-class _From:
-    """Endpoints that connect from one address, which tells briarspur the caller's block."""
-
-    def __init__(self, reactor: Any, host: str) -> None:
-        self._reactor = reactor
-        self._host = host
-
-    def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
-        return TCP4ClientEndpoint(
-            self._reactor,
-            uri.host.decode(),
-            uri.port,
-            timeout=CONNECT_TIMEOUT_S,
-            bindAddress=(self._host, 0),
-        )
-
-
 class CallHttp:
     """Sends requests; owns its kept connections."""
 
@@ -101,7 +82,9 @@
         self._pool.maxPersistentPerHost = KEPT_CONNECTIONS
         self._pool.cachedConnectionTimeout = 20
         self._pool.retryAutomatically = False
-        self._agent = Agent.usingEndpointFactory(reactor, _From(reactor, host), pool=self._pool)
+        # The address tells briarspur the caller's block.
+        endpoints = NumberEndpoints(cast(Any, reactor), CONNECT_TIMEOUT_S, host)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool=self._pool)
 
     async def close(self) -> None:
         """Close the kept connections."""
