--- a/standins/demo.py
+++ b/standins/demo.py
@@ -27,6 +27,7 @@
 STOPPED_ENTRY = "entry-10"
 ENTRY_STOP_S = 60.0
 PROGRESS_S = 2.0
+NO_NEW_WORK_S = 3.0
 VM_LAG_S = 2.0
 DRAIN_SERVICE = {"iroise": "charts", "holzwerk": "plans"}
 CALLERS_END_S = 90.0
@@ -68,16 +69,29 @@
     return all(versions.get(entry_id, 0) >= version for entry_id in running)
 
 
-def drain(system: System, service: str, events: Events) -> None:
-    """Drain a busy backend server by the command line; what it runs goes on to its end."""
+def drain(system: System, service: str, events: Events) -> str:
+    """Drain a busy backend server by the command line; return its id.
+
+    It is drained when no entry has it in use any more and what it ran has come to its end.
+    """
     until(lambda: system.busiest(service)[1] > 0, f"a request at a target of {service}")
     target_id, in_flight = system.busiest(service)
     began = time.monotonic()
+    version = max(system.versions_by_entry().values())
     system.operate("drain", target_id)
+    until(lambda: _in_force(system, version + 1), "the drain in force", 30.0)
     until(lambda: system.counts(target_id)["in_flight"] == 0, f"{target_id} drained", 60.0)
     events.say(
         f"{target_id} drained in {time.monotonic() - began:.2f} s ({in_flight} in flight at first)"
     )
+    return target_id
+
+
+def check_drained(system: System, target_id: str, started: int, events: Events) -> None:
+    """Note as a fault that a drained backend server got new work."""
+    new = system.counts(target_id)["started"] - started
+    if new:
+        events.faults.append(f"{target_id} got {new} new requests after its drain")
 
 
 def stop_entry(system: System, events: Events) -> None:
@@ -100,12 +114,14 @@
     _show_until(system, began + POLICY_AT_S)
     change_policy(system, events)
     _show_until(system, began + DRAIN_AT_S)
-    drain(system, DRAIN_SERVICE[deployment], events)
-    _show_until(system, began + STOP_AT_S)
+    drained = drain(system, DRAIN_SERVICE[deployment], events)
+    _show_until(system, max(began + STOP_AT_S, time.monotonic() + NO_NEW_WORK_S))
+    started = system.counts(drained)["started"]
     stop_entry(system, events)
     _show_until(system, began + seconds)
     report = system.finish_callers(CALLERS_END_S)
     verdict = judge(report, system.wait_idle())
+    check_drained(system, drained, started, events)
     print()
     print_tables(system, report, verdict)
     faults = events.faults + _faults(report, verdict)
