--- a/standins/caller.py
+++ b/standins/caller.py
@@ -205,7 +205,7 @@
             entry = found.entries[number % len(found.entries)]
             if left <= 0:
                 break
-            outcome, wait = await self._attempt(call, entry, left)
+            outcome, wait = await self._attempt(call, entry, min(left, call.load.attempt_s))
             if wait is None:
                 return outcome
             if outcome is not Outcome.NONE:
--- a/standins/callersettings.py
+++ b/standins/callersettings.py
@@ -29,6 +29,7 @@
     foreign_share: float = Field(default=0.0, ge=0.0, le=1.0, description="keys of its own making")
     download_bytes: int = Field(default=0, ge=0)
     patience_s: float = Field(default=10.0, gt=0.0, description="for the final answer")
+    attempt_s: float = Field(default=30.0, gt=0.0, description="for one entry's answer")
     repeats: int = Field(default=4, ge=0)
     after_s: float = Field(default=0.0, ge=0.0, description="begins that long after the start")
     most: int = Field(default=1_000_000, ge=1, description="requests in all")
--- a/tests/stories/small.py
+++ b/tests/stories/small.py
@@ -20,9 +20,17 @@
 CALLERS_END_S = 60.0
 LEASE_S = 2.0
 
-TIMES = Load(name="times", service="times", path="/times/", per_s=30.0)
+ATTEMPT_S = 3.0
+
+TIMES = Load(name="times", service="times", path="/times/", per_s=30.0, attempt_s=ATTEMPT_S)
 BOOKINGS = Load(
-    name="booking", service="booking", path="/booking/new", method="POST", per_s=20.0, keyed=True
+    name="booking",
+    service="booking",
+    path="/booking/new",
+    method="POST",
+    per_s=20.0,
+    keyed=True,
+    attempt_s=ATTEMPT_S,
 )
 CHARTS = Load(
     name="charts",
@@ -109,12 +117,16 @@
     """What every story ends with."""
 
     def finish(self, system: System) -> Report:
-        """Check that nothing was doubled or lost and that every caller got a final answer."""
+        """Check that nothing was doubled or lost, no region overloaded, every caller answered."""
         report = system.finish_callers(CALLERS_END_S)
         verdict = judge(report, system.wait_idle())
         self.assertEqual(verdict.doubled, [])
         self.assertEqual(verdict.lost, [])
         self.assertEqual(verdict.run_though_refused, [])
+        limits = system.deployment.policy().regions
+        for ledger in system.ledgers():
+            for region, counts in ledger["counts_by_region"].items():
+                self.assertLessEqual(counts["peak_in_flight"], limits[region].in_flight_limit)
         self.assertEqual(report.total(Outcome.NONE), 0, report.unfinished()[:3])
         self.assertEqual(report.total(Outcome.WRONG), 0, report.unfinished()[:3])
         return report
