--- /dev/null
+++ b/briarspur/steer.py
@@ -0,0 +1,148 @@
+"""The program ``briarspur-steer``: plans shifts of traffic while it holds the lease.
+
+Every entry VM runs one; whoever holds the lease acts, the others stand by. Entries follow the last
+plan, so they go on when no process holds the lease, or the store is gone.
+"""
+
+import asyncio
+import contextlib
+import logging
+import secrets
+import sys
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from briarspur import daemon, logs
+from briarspur.coord.invariants import invariants
+from briarspur.coord.lease import FencedWriter, Lease
+from briarspur.coord.writer import ConditionalWriter
+from briarspur.metrics import Metrics, NullMetrics, StatsdMetrics
+from briarspur.objects import HttpObjectStore, VmList
+from briarspur.peers import PeerClient, PeerClientSettings
+from briarspur.plan import PLAN_NAME
+from briarspur.planner import Planner
+from briarspur.reporters import Reporters
+from briarspur.settings import SteerSettings
+from briarspur.steerround import PolicyReader, SteerRounds
+from briarspur.steerstatus import SteerStatus, status_site
+
+__all__ = ["LEASE_NAME", "SteerDaemon", "main"]
+
+LEASE_NAME = "steer"
+STEPS_PER_LEASE = 3
+BACKLOG = 50
+LOAD_TIMEOUT_S = 1.0
+
+
+class SteerDaemon:
+    """Contends for the lease, and plans while it holds it."""
+
+    def __init__(self, settings: SteerSettings) -> None:
+        from twisted.internet import reactor
+
+        self._settings = settings
+        self._reactor: Any = reactor
+        self._port: Any = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._metrics: Metrics = NullMetrics()
+        if settings.statsd is not None:
+            self._metrics = StatsdMetrics(settings.statsd)
+        self._store = HttpObjectStore(settings.platform)
+        self._vms = VmList(settings.platform)
+        self._peers = PeerClient(PeerClientSettings(fetch_timeout=LOAD_TIMEOUT_S))
+        # A restarted process must not take its former self for the holder.
+        self._holder = f"{settings.holder_id}/{secrets.token_hex(8)}"
+        writer = ConditionalWriter(self._store, lambda: secrets.token_hex(16))
+        self._lease = Lease(
+            self._store,
+            LEASE_NAME,
+            self._holder,
+            settings.lease_s,
+            (PLAN_NAME,),
+            time.monotonic,
+            writer,
+        )
+        self._policies = PolicyReader(self._store)
+        self._rounds = SteerRounds(
+            self._lease,
+            FencedWriter(self._lease, PLAN_NAME, writer),
+            self._policies,
+            Planner(settings.holder_id),
+            Reporters(self._vms, self._peers).collect,
+            time.monotonic,
+            self._metrics,
+        )
+
+    async def start(self) -> None:
+        """Listen for status requests and begin to contend."""
+        settings = self._settings
+        site = status_site(self.status)
+        self._port = self._reactor.listenTCP(settings.status_port, site, BACKLOG, settings.host)
+        loop = asyncio.get_running_loop()
+        step_interval = settings.lease_s / STEPS_PER_LEASE
+        self._tasks = [
+            loop.create_task(_repeat(self._step, step_interval)),
+            loop.create_task(_repeat(self._round, settings.plan_interval_s)),
+        ]
+
+    async def stop(self) -> None:
+        """Stop planning, and give the lease up so that another need not wait for its end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._port is not None:
+            self._port.stopListening()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.platform.timeout_s):
+                await self._lease.release()
+        self._peers.close()
+        await self._store.close()
+        await self._vms.close()
+
+    def status(self) -> SteerStatus:
+        """Return what this process knows of itself."""
+        plan = self._rounds.last_plan
+        headroom: dict[str, dict[str, float]] = {}
+        for (service, region), rate in sorted(self._rounds.headroom.items()):
+            headroom.setdefault(service, {})[region] = round(rate, 1)
+        return SteerStatus(
+            holder_id=self._settings.holder_id,
+            ready=bool(self._tasks) and not any(task.done() for task in self._tasks),
+            holds_lease=self._lease.held(time.monotonic()),
+            term=self._lease.term,
+            plan_term=plan.term if plan else 0,
+            plan_number=plan.number if plan else 0,
+            policy_version=self._rounds.policy_version,
+            entries_reporting=self._rounds.entries_reporting,
+            headroom=headroom,
+            invariant_violations=dict(invariants.violations_by_name),
+        )
+
+    async def _step(self) -> None:
+        held_before = self._lease.held(time.monotonic())
+        held = await self._lease.step()
+        if held_before and not held:
+            logs.event("lease-lost", logging.WARNING, term=self._lease.term)
+
+    async def _round(self) -> None:
+        await self._rounds.run()
+
+
+async def _repeat(work: Callable[[], Awaitable[None]], interval: float) -> None:
+    """Do some work again and again; a fault of ours is logged, and does not end the process."""
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            logs.event("internal-error", logging.ERROR, daemon="briarspur-steer", error=repr(error))
+        await asyncio.sleep(interval)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the planner; return its exit code."""
+    return daemon.run("briarspur-steer", SteerSettings, SteerDaemon, argv)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/briarspur/steerstatus.py
+++ b/briarspur/steerstatus.py
@@ -30,6 +30,7 @@
     policy_version: int = 0
     entries_reporting: int = 0
     headroom: dict[str, dict[str, float]] = {}
+    invariant_violations: dict[str, int] = {}
 
 
 def status_site(status: Callable[[], SteerStatus]) -> Site:
