--- /dev/null
+++ b/tests/test_limit_stories.py
@@ -0,0 +1,214 @@
+"""Stories of overload and of shifts over several cores: limits and caps hold through each."""
+
+import random
+import unittest
+from collections import Counter
+
+from briarspur.codes import CODES, Code, Ran, Repeat
+from briarspur.coord.invariants import invariants
+from briarspur.members import MemberView
+from briarspur.messages import MovedBy
+from tests.world import ENTRIES, Run, World
+
+WINDOW_S = 5.0
+STEP_S = 0.1
+RUN_S = 0.3
+SOUTH_BLOCK = 0x0A020001
+NORTH_ENTRIES = ("entry-1", "entry-2")
+SOUTH_ENTRIES = ("entry-3", "entry-4")
+
+
+class Traffic:
+    """Callers of both regions at fixed rates, and backend servers that answer after a while.
+
+    Attributes
+    ----------
+    away_by_window : dict of int to Counter
+        Requests handed to backend servers outside their home, by home and region.
+    """
+
+    def __init__(self, per_step: dict[str, float]) -> None:
+        self.world = World(random.Random(7))
+        self.world.start()
+        self.per_step = per_step
+        self.away_by_window: dict[int, Counter[tuple[str, str]]] = {}
+        self.most_in_flight: Counter[str] = Counter()
+        self._due = dict.fromkeys(per_step, 0.0)
+        self._ends: list[tuple[float, Run]] = []
+        self._seen: set[tuple[str, int]] = set()
+        self._home_by_call: dict[str, str] = {}
+
+    def run(self, seconds: float, path: str = "times") -> None:
+        """Let time pass with callers arriving."""
+        for _ in range(round(seconds / STEP_S)):
+            self.step(path)
+
+    def step(self, path: str = "times") -> None:
+        """One step of time; what is sent in it is delivered in it."""
+        world = self.world
+        for home, rate in self.per_step.items():
+            self._due[home] += rate
+            while self._due[home] >= 1.0:
+                self._due[home] -= 1.0
+                self._call(home)
+        while world.hops:
+            world.deliver(0)
+        self._note_runs()
+        for end, run in list(self._ends):
+            if end <= world.now:
+                self._ends.remove((end, run))
+                if run in world.runs:
+                    world.finish_run(world.runs.index(run), "answer")
+        while world.hops:
+            world.deliver(0)
+        self._note_runs()
+        world.advance(STEP_S)
+        self._note_runs()
+
+    def _call(self, home: str) -> None:
+        entries = NORTH_ENTRIES if home == "north" else SOUTH_ENTRIES
+        live = [e for e in entries if e in self.world.cores] or sorted(self.world.cores)
+        entry = live[self.world.calls % len(live)]
+        block = SOUTH_BLOCK if home == "south" else 1
+        call = self.world.call(entry, None, self.world.calls, block)
+        self._home_by_call[call] = home
+
+    def _note_runs(self) -> None:
+        world = self.world
+        for run in world.runs:
+            attempt = (run.incarnation, run.attempt_id)
+            if attempt in self._seen:
+                continue
+            self._seen.add(attempt)
+            self._ends.append((world.now + RUN_S, run))
+            call = run.request_id
+            home = self._home_by_call.get(call) or self._home_of_forward(run)
+            if home != run.region:
+                window = int(world.now / WINDOW_S)
+                self.away_by_window.setdefault(window, Counter())[home, run.region] += 1
+        for region in ("north", "south"):
+            self.most_in_flight[region] = max(self.most_in_flight[region], world.in_flight(region))
+
+    def _home_of_forward(self, run: Run) -> str:
+        hop = self.world.hop_by_request[run.entry, run.request_id]
+        return "south" if hop.request.block == SOUTH_BLOCK else "north"
+
+
+class LimitStoriesTest(unittest.TestCase):
+    """What must hold: in-flight within the limit, moves within the caps, finals at once."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+
+    def check(self, traffic: Traffic) -> None:
+        world = traffic.world
+        assert world.policy is not None
+        for name, region in world.policy.regions_by_name.items():
+            self.assertLessEqual(traffic.most_in_flight[name], region.in_flight_limit)
+        caps = world.policy.caps_by_kind
+        cap = caps[MovedBy.PLANNED].requests + caps[MovedBy.EMERGENCY].requests
+        for window, away in traffic.away_by_window.items():
+            before = traffic.away_by_window.get(window - 1, Counter())
+            for flow, count in away.items():
+                self.assertLessEqual(count, before[flow] + cap, (window, flow))
+        for code in world.finals.values():
+            info = CODES[code]
+            if info.ran is Ran.NO and code is not Code.NO_TARGET:
+                self.assertIs(info.repeat, Repeat.AFTER_RETRY_AFTER)
+
+    def settle(self, traffic: Traffic) -> None:
+        traffic.per_step = {}
+        traffic.run(5.0)
+        self.assertEqual(traffic.world.open_calls, {})
+
+    def test_a_region_is_lost_under_load(self) -> None:
+        """Callers of a lost region make the other one slow for its own callers.
+
+        Both run at four fifths of their limits when all entries and servers of one region die.
+        """
+        traffic = Traffic({"north": 2.4, "south": 2.4})
+        traffic.run(10.0)
+        for entry in NORTH_ENTRIES:
+            traffic.world.kill(entry)
+        traffic.world.tell_views()
+        traffic.run(30.0)
+        self.check(traffic)
+        moved = traffic.away_by_window[max(traffic.away_by_window)]["north", "south"]
+        self.assertGreater(moved, 0, "callers of the lost region are served elsewhere")
+        self.settle(traffic)
+
+    def test_a_burst_is_refused_at_once_and_bookings_go_on(self) -> None:
+        """A fare alliance asks ten times as often as usual, and bookings time out.
+
+        Its requests fill queues and slots that bookings need.
+        """
+        traffic = Traffic({"north": 1.0, "south": 1.0})
+        traffic.run(5.0)
+        traffic.per_step = {"north": 30.0, "south": 30.0}
+        traffic.run(3.0)
+        keys = []
+        for n in range(10):
+            entry = NORTH_ENTRIES[n % ENTRIES]
+            key = traffic.world.new_key(entry)
+            assert key is not None
+            keys.append(key)
+            traffic.world.call(entry, key, n)
+            traffic.step()
+        self.settle(traffic)
+        self.check(traffic)
+        self.assertEqual([traffic.world.ledger[key] for key in keys], [1] * 10)
+        refused = [c for c in traffic.world.finals.values() if CODES[c].ran is Ran.NO]
+        self.assertGreater(len(refused), 100)
+
+    def test_a_plan_is_replayed_and_doubled(self) -> None:
+        """Traffic swings between regions with each window.
+
+        An old plan and a new one reach the entries by turns, again and again.
+        """
+        traffic = Traffic({"north": 2.0, "south": 1.0})
+        traffic.run(10.0)
+        for n in range(24):
+            share = float(n % 2)
+            splits = {"times": {"north": {"north": 1.0 - share, "south": share}}}
+            for core in traffic.world.cores.values():
+                core.plan_accepted(splits)
+            traffic.run(1.0)
+        self.check(traffic)
+        self.settle(traffic)
+
+    def test_an_entry_is_cut_off_from_its_peers(self) -> None:
+        """A region gets more requests than it carries while two of its entries are apart.
+
+        Each sees the other as gone and takes its servers over, while the store is up.
+        """
+        traffic = Traffic({"north": 4.0, "south": 1.0})
+        traffic.run(5.0)
+        world = traffic.world
+        view = world.true_view().by_id
+        for entry, other in (NORTH_ENTRIES, NORTH_ENTRIES[::-1]):
+            alone = MemberView({name: m for name, m in view.items() if name != other})
+            world.carry_out(entry, world.cores[entry].view_changed(alone, world.now))
+        traffic.run(15.0)
+        world.tell_views()
+        traffic.run(10.0)
+        self.check(traffic)
+        self.settle(traffic)
+
+    def test_links_between_regions_are_cut_and_restored(self) -> None:
+        """A region that is back gets all its callers in one second, with its caches cold.
+
+        Its entries saw nothing of the other region for a while; then all saw one another again.
+        """
+        traffic = Traffic({"north": 2.4, "south": 2.4})
+        traffic.run(10.0)
+        world = traffic.world
+        for entry in NORTH_ENTRIES:
+            world.kill(entry)
+        world.tell_views()
+        traffic.run(20.0)
+        for entry in NORTH_ENTRIES:
+            world.start_entry(entry)
+        world.tell_views()
+        traffic.run(20.0)
+        self.check(traffic)
+        self.settle(traffic)
