Count requests that stay at home because a cap forbids their move

Uncounted, they looked like a return to home in the next window and were refused beyond the cap on returns. The test fails with the former code: the last question to the budget was about the move.

--- a/briarspur/region.py
+++ b/briarspur/region.py
@@ -103,7 +103,9 @@
             return RegionChoice(home, None) if allowed else None
         if gate(service.name, home, drawn, MovedBy.PLANNED):
             return RegionChoice(drawn, MovedBy.PLANNED)
-        return RegionChoice(home, None) if usable(home) else None
+        if usable(home) and gate(service.name, home, home, MovedBy.RETURN):
+            return RegionChoice(home, None)
+        return None
 
     def _spill(
         self,
@@ -118,8 +120,11 @@
         for region in (home, *self.spill_order(home)):
             if region == tried or not usable(region):
                 continue
-            if region == home or gate(service.name, home, region, MovedBy.EMERGENCY):
-                return Ok(RegionChoice(region, None if region == home else MovedBy.EMERGENCY))
+            moved_by = None if region == home else MovedBy.EMERGENCY
+            # Home traffic is counted too: uncounted, it would look like a return to home in the
+            # next window and be refused beyond the cap on returns.
+            if gate(service.name, home, region, moved_by or MovedBy.RETURN):
+                return Ok(RegionChoice(region, moved_by))
             capped = True
         code = Code.SHIFT_CAPPED if capped else Code.NO_TARGET
         return Error(Refusal(code, service.name))
