--- a/briarspur/coord/membership.py
+++ b/briarspur/coord/membership.py
@@ -13,6 +13,7 @@
 declares nobody gone until that ends.
 """
 
+import heapq
 import math
 import random
 from collections.abc import Iterable
@@ -72,6 +73,8 @@
         self._heard_at = now
         self._probe_order: list[str] = []
         self._address_order: list[Address] = []
+        self._wanted: list[Address] = []
+        self._wanted_basis: tuple[frozenset[Address], int] = (frozenset(), 0)
         self._filler_order: list[str] = []
         self._open_by_number: dict[int, OpenProbe] = {}
         self._last_number = 0
@@ -209,12 +212,7 @@
     def _probe_address(self) -> ProbeOut | None:
         """Return a probe of the next listed address that no member here has."""
         if not self._address_order:
-            gone = {
-                self.table.record_by_id[member_id].update.member.address
-                for member_id in self.table.gone_ids - self.table.unlisted_ids
-            }
-            wanted = [a for a in self.table.listed | gone if self._is_new(a)]
-            self._address_order = sorted(wanted, key=lambda a: (a.host, a.port))
+            self._address_order = self._wanted_addresses()
             self._rng.shuffle(self._address_order)
         while self._address_order:
             address = self._address_order.pop()
@@ -222,6 +220,19 @@
                 return self._probe(address, "")
         return None
 
+    def _wanted_addresses(self) -> list[Address]:
+        """Return the addresses to try, worked out anew only when the list or the view changed."""
+        basis = (self.table.listed, self.table.view_version)
+        if basis[0] is not self._wanted_basis[0] or basis[1] != self._wanted_basis[1]:
+            gone = {
+                self.table.record_by_id[member_id].update.member.address
+                for member_id in self.table.gone_ids - self.table.unlisted_ids
+            }
+            wanted = [a for a in self.table.listed | gone if self._is_new(a)]
+            self._wanted = sorted(wanted, key=lambda a: (a.host, a.port))
+            self._wanted_basis = basis
+        return list(self._wanted)
+
     def _is_new(self, address: Address) -> bool:
         member_id = self.table.at(address)
         return member_id is None or self.member(member_id) is None
@@ -256,8 +267,11 @@
         known = self.table.record_by_id.get(receiver)
         if known is not None and known.update.state is not MemberState.ALIVE:
             chosen[receiver] = None
-        fresh = sorted(self.table.fresh_ids, key=lambda i: self.table.record_by_id[i].sendings)
-        for member_id in fresh[: self._settings.updates - len(chosen)]:
+        records = self.table.record_by_id
+        room = self._settings.updates - len(chosen)
+        for member_id in heapq.nsmallest(
+            room, self.table.fresh_ids, key=lambda member_id: records[member_id].sendings
+        ):
             chosen[member_id] = None
         while len(chosen) < min(self._settings.updates, len(self.table.record_by_id)):
             chosen[self._next_filler()] = None
