Let one service at a time plan into a region

All services share a region's limit. Two that saw the same free part of it in the same reports both planned into it; the test shows two services moved by one plan with the former code.

--- a/briarspur/planner.py
+++ b/briarspur/planner.py
@@ -67,6 +67,7 @@
             self._settings.report_delay, self._settings.fresh, self._settings.hold
         )
         self._stepped_at_by_service: dict[str, float] = {}
+        self._filled_at_by_region: dict[str, float] = {}
         self._plan: PlanDocument | None = None
         self._began_at = -math.inf
 
@@ -83,6 +84,7 @@
         self._measurements.clear(now)
         # The holder before may have made a step just now, so its effect is not measured yet.
         self._stepped_at_by_service.clear()
+        self._filled_at_by_region.clear()
         self._began_at = now
 
     def reported(self, document: LoadDocument, now: float) -> None:
@@ -95,19 +97,31 @@
             return None
         picture = self._measurements.picture(now)
         splits: dict[str, dict[str, PlanSplit]] = {}
-        stepped = []
-        for service in policy.services_by_name:
+        has_step = False
+        # The one that stepped longest ago goes first, so that each has its turn.
+        for service in sorted(
+            policy.services_by_name,
+            key=lambda name: (self._stepped_at_by_service.get(name, -math.inf), name),
+        ):
             before = self._current(policy, service)
             after = before
-            if self._may_step(policy, service, picture, now):
+            if self._is_seen(policy, self._stepped_at_by_service.get(service), picture):
                 after = self._next(policy, service, before, picture, now)
+            filled = _filled(before, after)
+            # All services share a region's limit: the room that one has just planned into still
+            # looks free to the others, in this round and until its effect is measured.
+            if not all(
+                self._is_seen(policy, self._filled_at_by_region.get(region), picture)
+                for region in filled
+            ):
+                after = before
             if after != before:
-                stepped.append(service)
+                has_step = True
+                self._stepped_at_by_service[service] = now
+                self._filled_at_by_region |= dict.fromkeys(filled, now)
             splits[service] = self._documents(policy, service, before, after)
-        if not stepped:
+        if not has_step:
             return None
-        for service in stepped:
-            self._stepped_at_by_service[service] = now
         self._plan = PlanDocument(
             term=self._plan.term,
             number=self._plan.number + 1,
@@ -125,13 +139,13 @@
             for flow, measured in picture.by_flow.items()
         }
 
-    def _may_step(self, policy: Policy, service: str, picture: Picture, now: float) -> bool:
-        """Tell whether every fresh report was taken when the last step had its effect."""
+    def _is_seen(self, policy: Policy, step_at: float | None, picture: Picture) -> bool:
+        """Tell whether every fresh report was taken when a step had had its effect."""
         if picture.oldest == math.inf:
             return False
-        stepped_at = self._stepped_at_by_service.get(service, self._began_at)
+        began = self._began_at if step_at is None else step_at
         window = max(cap.window for cap in policy.caps_by_kind.values())
-        return picture.oldest >= stepped_at + max(window, self._settings.settle)
+        return picture.oldest >= began + max(window, self._settings.settle)
 
     def _capacity(
         self, policy: Policy, service: str, region: str, picture: Picture, warm: bool
@@ -232,6 +246,16 @@
         return documents
 
 
+def _filled(before: Mapping[str, Shares], after: Mapping[str, Shares]) -> set[str]:
+    """Return the regions that get a larger share of some home."""
+    return {
+        region
+        for home, shares in after.items()
+        for region, share in shares.items()
+        if share > before[home].get(region, 0.0)
+    }
+
+
 @dataclass(frozen=True, slots=True)
 class _Relief:
     """Moves what regions can't carry to others; rates in requests per second.
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -35,6 +35,7 @@
         self.slots = {"north": 6, "south": 6}
         self.warm = {"north": 6, "south": 6}
         self.silent: set[str] = set()
+        self.services: tuple[str, ...] = ("times",)
         self.frozen = False
         self.plans: list[tuple[float, PlanDocument]] = []
         self.now = 100.0
@@ -65,7 +66,7 @@
                 incarnation="a",
                 region=region,
                 number=self.number,
-                services={"times": load},
+                services=dict.fromkeys(self.services, load),
             )
             self.planner.reported(document, self.now)
 
@@ -163,6 +164,27 @@
             last.splits["times"]["north"].shares["south"],
         )
 
+    def test_two_services_do_not_plan_into_the_same_room(self) -> None:
+        """A region is overloaded by the step that should have relieved another.
+
+        Two services see the same free part of its limit in the same reports, and both move there.
+        """
+        self.world.services = ("times", "booking")
+        self.world.demand["north"] = 90.0
+        self.world.run(60)
+        self.assertGreater(len(self.world.plans), 4)
+        turns: list[str] = []
+        for (_, one), (_, two) in pairwise(self.world.plans):
+            moved = [
+                service
+                for service in self.world.services
+                if "north" in two.splits[service]
+                and two.splits[service]["north"] != one.splits[service].get("north")
+            ]
+            self.assertEqual(len(moved), 1)
+            turns += moved
+        self.assertLessEqual(abs(turns.count("times") - turns.count("booking")), 1)
+
     @settings(derandomize=True, deadline=None, database=None, max_examples=40)
     @given(st.data())
     def test_any_reports_keep_the_invariants(self, data) -> None:
