--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -24,9 +24,13 @@
 from briarspur.messages import EntryAddress
 from briarspur.objects import Vm
 from briarspur.peers import PeerClient
+from briarspur.peerwire import updates_from_wire, updates_to_wire
 
 __all__ = ["Peering", "PeeringTimes", "VmReader"]
 
+MEMBERS_NAME = "members"
+"""Name under which entries hand all their facts about members to one that has just begun."""
+
 MOST_TASKS = 64
 """Calls to other entries at once; more are left out, and the next period makes new ones."""
 
@@ -92,6 +96,8 @@
         self._shown_version = -1
         self._view_is_held = False
         self._stopped = False
+        self._has_members = False
+        self._fetching_members = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -129,6 +135,9 @@
 
     async def fetched(self, name: str, newer_than: int) -> ObjectCopy | None:
         """Return the object if the version in force here is above ``newer_than``."""
+        if name == MEMBERS_NAME:
+            value = updates_to_wire(self._membership.updates())
+            return ObjectCopy(MEMBERS_NAME, newer_than + 1, b"", value)
         if name == LOAD_NAME:
             return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
         return self._follow.copy(name, newer_than)
@@ -235,6 +244,11 @@
         self._core.exchange.heard(gossip.news, self._clock())
         self.show_view()
         self._follow.heard(sender, gossip.objects)
+        member = self._membership.member(sender)
+        if member is None or self._has_members or self._fetching_members:
+            return
+        self._fetching_members = True
+        self._start(self._fetch_members(member.address))
 
     def _send(self, probes: list[ProbeOut]) -> None:
         for probe in probes:
@@ -253,6 +267,22 @@
         self._heard(reply.sender, reply.gossip)
         self._send(more)
 
+    async def _fetch_members(self, address: Address) -> None:
+        """Learn of all members at once, where facts on probes would take minutes to bring them.
+
+        Acting on a part of the members, this entry would take over targets that others own.
+        """
+        try:
+            copy = await self._client.fetch(address, MEMBERS_NAME, 0)
+            if copy is not None:
+                self._membership.learn_all(updates_from_wire(copy.value), self._clock())
+                self._has_members = True
+                self.show_view()
+        except (PeerError, ValueError) as error:
+            logs.event("peer-unavailable", logging.DEBUG, object=MEMBERS_NAME, error=str(error))
+        finally:
+            self._fetching_members = False
+
     def _borrow(self, now: float) -> None:
         view = self._core.view
         wanted = self._core.exchange.borrow_wanted(view, self._rng, now)
