Delete old claims and outcomes; show that a rejected version is fetched once

Claims and outcomes were written for ever. Each now says when it was written, and a sweeper deletes those older than they are kept, listed in 256 parts. A sweeper that remembers first sight was ruled out: the process that runs it is replaced before a week has passed and would never delete. No daemon runs it yet.

--- a/briarspur/coord/claims.py
+++ b/briarspur/coord/claims.py
@@ -2,11 +2,13 @@
 
 Two entries that are given the same foreign key cannot know of each other. The store lets one of
 them create the claim; only that one may dispatch the key, and it does so under its own memory.
-Claims are never deleted here: a key whose claim is gone could run again.
+Claims are not deleted here but by :mod:`briarspur.coord.sweep`, long after the last repeat: a key
+whose claim is gone could run again.
 """
 
 import asyncio
 import json
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -57,16 +59,22 @@
     token: str
     incarnation: str
     body_digest: bytes
+    at: float
 
     def encode(self) -> bytes:
-        digest = self.body_digest.hex()
-        fields = {"token": self.token, "incarnation": self.incarnation, "digest": digest}
+        fields = {
+            "token": self.token,
+            "incarnation": self.incarnation,
+            "digest": self.body_digest.hex(),
+            "at": self.at,
+        }
         return json.dumps(fields, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, value: bytes) -> "_Claim":
         fields = json.loads(value)
-        return cls(fields["token"], fields["incarnation"], bytes.fromhex(fields["digest"]))
+        digest = bytes.fromhex(fields["digest"])
+        return cls(fields["token"], fields["incarnation"], digest, float(fields.get("at", 0.0)))
 
 
 def claim_name(key: Key) -> str:
@@ -93,6 +101,8 @@
         Calls made to settle a lost answer.
     pause : float
         Seconds between them.
+    wall : callable
+        Unix seconds; says in each claim when it was made, for the one who deletes old claims.
     """
 
     def __init__(
@@ -104,7 +114,9 @@
         queue: int = DEFAULT_QUEUE,
         tries: int = DEFAULT_TRIES,
         pause: float = DEFAULT_PAUSE,
+        wall: Callable[[], float] = time.time,
     ) -> None:
+        self._wall = wall
         self._store = store
         self._incarnation = incarnation
         self._new_token = new_token
@@ -130,7 +142,7 @@
         # An earlier claim of ours whose answer was lost may take effect even now. Under a new
         # token we would take it for another entry's, and the key could never be run.
         token = self._unsettled_tokens_by_name.pop(name, None) or self._new_token()
-        claim = _Claim(token, self._incarnation, body_digest)
+        claim = _Claim(token, self._incarnation, body_digest, self._wall())
         outcome = await self._create(name, claim)
         if isinstance(outcome, ClaimUnsettled):
             self._remember(name, token)
--- a/briarspur/coord/once.py
+++ b/briarspur/coord/once.py
@@ -103,6 +103,11 @@
     def __len__(self) -> int:
         return len(self._records_by_text)
 
+    @property
+    def time(self) -> float:
+        """Unix seconds as last told, never going back; 0 before the first time."""
+        return max(self._time, 0.0)
+
     def records(self) -> Iterator[KeyRecord]:
         """Yield every record, oldest first."""
         yield from self._records_by_text.values()
--- a/tests/coord/test_once.py
+++ b/tests/coord/test_once.py
@@ -151,6 +151,26 @@
         self.assertTrue(self.memory.dispatched(self.key, attempt_id=1))
 
 
+class HomeKilledTest(unittest.TestCase):
+    """A key outlives the process that could run it."""
+
+    def test_home_is_killed_between_dispatch_and_answer(self) -> None:
+        """A passenger's taxi is booked, no answer comes, and a repeat must not book another.
+
+        The home is killed after the dispatch. Its successor on the same VM has an empty memory
+        and would take the key for a new one, had it the same incarnation.
+        """
+        invariants.strict = True
+        key = make_key()
+        home = make_memory()
+        self.assertEqual(home.arrive(key, DIGEST, "a", 0.0, WALL), Fresh())
+        self.assertTrue(home.dispatched(key, attempt_id=1))
+        for incarnation in ("00000000000000bb", "00000000000000cc"):
+            successor = KeyMemory(incarnation, 100, LIFETIME, skew=5.0)
+            found = successor.arrive(key, DIGEST, "b", 1.0, WALL + 1)
+            self.assertEqual(found, NotHome(HOME))
+
+
 class BoundTest(unittest.TestCase):
     """The memory is bounded, and forgetting never lets a key run again."""
 
--- /dev/null
+++ b/tests/coord/test_sweep.py
@@ -0,0 +1,63 @@
+"""Tests of the deletion of old claims and outcomes."""
+
+import unittest
+
+from briarspur.coord.claims import Claims
+from briarspur.coord.keys import Key
+from briarspur.coord.memorystore import MemoryStore, StoreFault
+from briarspur.coord.outcomes import outcomes_of
+from briarspur.coord.store import ABSENT
+from briarspur.coord.sweep import Sweeper, hex_prefixes
+from tests.coord.test_once import DIGEST, WALL, make_key, make_memory
+
+KEEP = 7 * 86_400.0
+
+
+class SweeperTest(unittest.IsolatedAsyncioTestCase):
+    """Nothing goes that a caller may still ask for."""
+
+    def setUp(self) -> None:
+        self.wall = WALL
+        self.store = MemoryStore()
+
+    def sweeper(self, *prefixes: str, deletions: int = 50) -> Sweeper:
+        return Sweeper(self.store, prefixes, KEEP, lambda: self.wall, deletions)
+
+    async def claim(self, count: int) -> None:
+        claims = Claims(self.store, "a", lambda: "t", wall=lambda: self.wall)
+        for n in range(count):
+            await claims.claim(Key(f"foreign-key-{self.wall}-{n}"), DIGEST)
+
+    async def test_only_old_claims_go(self) -> None:
+        await self.claim(3)
+        self.wall += KEEP - 1.0
+        await self.claim(2)
+        sweeper = self.sweeper("claims/")
+        self.assertEqual(await sweeper.step(), 0)
+        self.wall += 1.0
+        self.assertEqual(await sweeper.step(), 3)
+        self.assertEqual(len(await self.store.list("claims/")), 2)
+
+    async def test_outcomes_go_too_and_other_objects_stay(self) -> None:
+        memory = make_memory()
+        memory.arrive(make_key(), DIGEST, "a", 0.0, WALL)
+        for page in outcomes_of(memory):
+            await self.store.put(page.name, page.value, ABSENT)
+        await self.store.put("outcomes/other", b"no JSON", ABSENT)
+        self.wall += KEEP
+        self.assertEqual(await self.sweeper("outcomes/").step(), 1)
+        self.assertIsNotNone(self.store.peek("outcomes/other"))
+
+    async def test_steps_are_small(self) -> None:
+        await self.claim(5)
+        self.wall += KEEP
+        sweeper = self.sweeper("claims/", deletions=2)
+        self.assertEqual([await sweeper.step() for _ in range(4)], [2, 2, 1, 0])
+        self.assertEqual(len(hex_prefixes("claims/")), 256)
+
+    async def test_store_fails(self) -> None:
+        await self.claim(2)
+        self.wall += KEEP
+        self.store.fail_next(StoreFault.UNAVAILABLE)
+        sweeper = self.sweeper("claims/")
+        self.assertEqual([await sweeper.step(), await sweeper.step()], [0, 2])
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -17,7 +17,7 @@
 from briarspur.coord.store import StoredObject
 from briarspur.errors import PeerError
 from briarspur.follow import Follow
-from briarspur.gossip import ObjectCopy
+from briarspur.gossip import ObjectCopy, ObjectVersion
 from tests.virtualtime import run_virtual
 
 ZONES = ("north-a", "north-b", "south-a")
@@ -170,6 +170,31 @@
         self.assertEqual(self.follow.offered(replace(copy, version=2)), 2)
 
 
+class RejectedVersionTest(unittest.IsolatedAsyncioTestCase):
+    """A version that is not valid here costs one transfer, not one with each heartbeat."""
+
+    async def test_rejected_version_is_fetched_once(self) -> None:
+        """An entry of an older program fetches a megabyte a second, for as long as it runs.
+
+        It cannot read the newest policy; each heartbeat of the others names that version.
+        """
+        fetched: list[int] = []
+        digest = hashlib.sha256(b"bad").digest()
+
+        class Peers(Fleet):
+            async def fetch(self, entry: str, name: str, newer_than: int) -> ObjectCopy | None:
+                fetched.append(newer_than)
+                return ObjectCopy(name, 2, digest, b"bad")
+
+        fleet = Peers(1)
+        follower: Follower[None] = Follower("policy", lambda stored: Error("bad"))
+        follow = Follow("e0", ZONES[0], fleet.store, fleet, [follower], random.Random(1))
+        for _ in range(5):
+            follow.heard("e1", [ObjectVersion("policy", 2, digest)])
+            await asyncio.sleep(0.01)
+        self.assertEqual(fetched, [0])
+
+
 class FollowTest(unittest.TestCase):
     """Thirty entries in three zones."""
 
