Send a foreign key to the entry that claimed it

A repeat of a caller's own key at another entry than the first was refused as 'outcome unknown', although the claim names the process that has the answer. It is now forwarded there, with every caller that joined it, or answered from what that process left at its stop. An older claim of our own whose key is forgotten is still refused: it may have run.

--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -29,6 +29,7 @@
     Begin,
     Cancel,
     Claim,
+    ClaimedBy,
     ClaimResult,
     Dispatch,
     Failure,
@@ -80,7 +81,9 @@
     def caller_gone(self, request_id: str, now: float) -> list[Action]:
         """Decide on a request nobody waits for any more."""
 
-    def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
+    def claim_settled(
+        self, request_id: str, result: ClaimResult | ClaimedBy, now: float
+    ) -> list[Action]:
         """Go on after a claim."""
 
     def outcome_fetched(
@@ -324,7 +327,7 @@
 
     async def _claim(self, action: Claim) -> None:
         try:
-            result = await self._keys.claim(action.key, action.body_digest)
+            result: ClaimResult | ClaimedBy = await self._keys.claim(action.key, action.body_digest)
         except Exception as error:
             # Whatever went wrong, the claim may stand; only "unsettled" is surely not wrong.
             logs.event("internal-error", logging.ERROR, during="claim", error=repr(error))
--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -22,6 +22,7 @@
     Answer,
     Begin,
     Cancel,
+    ClaimedBy,
     ClaimResult,
     Failure,
     Kind,
@@ -269,7 +270,9 @@
 
     # Claims and outcomes in the store
 
-    def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
+    def claim_settled(
+        self, request_id: str, result: ClaimResult | ClaimedBy, now: float
+    ) -> list[Action]:
         """Go on with a foreign key whose claim was tried."""
         out: list[Action] = []
         work = self._finals.get(request_id)
@@ -280,6 +283,9 @@
             self.routing.first_attempt(work)
             self._pipeline.admit(work, now, out)
             return out
+        if isinstance(result, ClaimedBy):
+            self._pipeline.claimed_elsewhere(work, result.incarnation, self.view, now, out)
+            return out
         # Another entry holds the claim, or nobody can tell: an earlier copy may have run there.
         taken = result is ClaimResult.TAKEN
         code = Code.HOME_GONE if taken else Code.STORE_UNAVAILABLE
--- a/briarspur/interfaces.py
+++ b/briarspur/interfaces.py
@@ -6,7 +6,7 @@
 
 from briarspur.backend import Attempt, AttemptEvents, Outgoing
 from briarspur.codes import Code
-from briarspur.messages import Answer, ClaimResult, Priority, Request
+from briarspur.messages import Answer, ClaimedBy, ClaimResult, Priority, Request
 
 __all__ = [
     "CarryObserver",
@@ -31,7 +31,7 @@
 class KeyStore(Protocol):
     """The object store as keys need it."""
 
-    async def claim(self, key: str, body_digest: bytes) -> ClaimResult:
+    async def claim(self, key: str, body_digest: bytes) -> ClaimResult | ClaimedBy:
         """Claim a foreign key."""
 
     async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
--- a/briarspur/keystore.py
+++ b/briarspur/keystore.py
@@ -11,7 +11,7 @@
 )
 from briarspur.coord.store import ObjectStore
 from briarspur.interfaces import FetchedOutcome
-from briarspur.messages import Answer, ClaimResult
+from briarspur.messages import Answer, ClaimedBy, ClaimResult
 
 __all__ = ["ObjectKeyStore"]
 
@@ -31,7 +31,7 @@
         self._store = store
         self._claims = claims
 
-    async def claim(self, key: str, body_digest: bytes) -> ClaimResult:
+    async def claim(self, key: str, body_digest: bytes) -> ClaimResult | ClaimedBy:
         """Claim a foreign key."""
         parsed = parse_key(key)
         if parsed.is_error():
@@ -39,7 +39,9 @@
         outcome = await self._claims.claim(parsed.ok, body_digest)
         if isinstance(outcome, ClaimOurs):
             return ClaimResult.OURS
-        return ClaimResult.TAKEN if isinstance(outcome, ClaimTaken) else ClaimResult.UNSETTLED
+        if isinstance(outcome, ClaimTaken):
+            return ClaimedBy(outcome.incarnation)
+        return ClaimResult.UNSETTLED
 
     async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
         """Read what a gone incarnation recorded about a key."""
--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -18,6 +18,7 @@
     "Cancel",
     "Claim",
     "ClaimResult",
+    "ClaimedBy",
     "Dispatch",
     "EntryAddress",
     "Failure",
@@ -80,6 +81,13 @@
     UNSETTLED = "unsettled"
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimedBy:
+    """The key was claimed by this entry process, which knows what became of it."""
+
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class EntryAddress:
     """Where an entry listens."""
--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -5,7 +5,7 @@
 """
 
 from briarspur.codes import Code
-from briarspur.coord.once import KeptAnswer, KeyMemory, NotRunProof
+from briarspur.coord.once import KeptAnswer, Key, KeyMemory, NotRunProof
 from briarspur.coord.quarantine import Admission, Quarantine
 from briarspur.dedupe import (
     AskStore,
@@ -116,6 +116,47 @@
             case WaitForOutcome(key=key):
                 pass
 
+    def claimed_elsewhere(
+        self, work: Work, incarnation: str, view: MemberView, now: float, out: list[Action]
+    ) -> None:
+        """Send a foreign key, and every caller that joined it here, to the entry that claimed it.
+
+        Only that entry knows whether the key ran; a refusal here would leave a caller that came
+        back through another entry without the answer to its own booking.
+        """
+        if work.key is None:
+            return
+        key = work.key
+        released = self._keys.not_run(key)
+        works = [self._finals.get(request_id) for request_id in released.request_ids]
+        if work.request.request_id not in released.request_ids:
+            self._finals.close(work)
+        for waiting in works:
+            if waiting is not None:
+                waiting.key = None
+                self._to_claimant(waiting, key, incarnation, view, now, out)
+
+    def _to_claimant(
+        self,
+        work: Work,
+        key: Key,
+        incarnation: str,
+        view: MemberView,
+        now: float,
+        out: list[Action],
+    ) -> None:
+        home = view.by_incarnation(incarnation)
+        if incarnation == self._keys.incarnation:
+            # An older claim of our own, whose key the memory has forgotten: it may have run.
+            self._finals.finish(work, Refusal(Code.HOME_GONE), out)
+        elif home is None:
+            out.append(FetchOutcome(work.request.request_id, incarnation, key.text))
+        elif work.request.forwarded_by is not None:
+            # Two entries with different views would send the request to and fro.
+            self._finals.finish(work, Refusal(Code.HOME_UNREACHABLE, retry_after=1.0), out)
+        else:
+            self._forward(work, home, now, out, to_home=True)
+
     def admit(self, work: Work, now: float, out: list[Action]) -> None:
         """Quarantine and deadline, then the choice of a region."""
         verdict = self._quarantine.admit(work.request.body_digest, now)
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -16,6 +16,7 @@
     Answer,
     Begin,
     Cancel,
+    ClaimedBy,
     ClaimResult,
     Dispatch,
     Failure,
@@ -112,7 +113,9 @@
             Cancel(n) for n, r in self.requests_by_attempt.items() if r.request_id == request_id
         ]
 
-    def claim_settled(self, request_id: str, result: ClaimResult, now: float) -> list[Action]:
+    def claim_settled(
+        self, request_id: str, result: ClaimResult | ClaimedBy, now: float
+    ) -> list[Action]:
         return []
 
     def outcome_fetched(
@@ -130,7 +133,7 @@
 class FakeKeys:
     """A key store that settles nothing."""
 
-    async def claim(self, key: str, body_digest: bytes) -> ClaimResult:
+    async def claim(self, key: str, body_digest: bytes) -> ClaimResult | ClaimedBy:
         return ClaimResult.UNSETTLED
 
     async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,17 @@
 from briarspur.coord.invariants import invariants
 from briarspur.core import CoreSettings
 from briarspur.members import MemberView
-from briarspur.messages import Answer, Begin, Dispatch, Failure, Forward, Refuse, Reply
+from briarspur.messages import (
+    Answer,
+    Begin,
+    ClaimedBy,
+    Dispatch,
+    Failure,
+    FetchOutcome,
+    Forward,
+    Refuse,
+    Reply,
+)
 from tests.bench import WALL, Bench, body, make_core, make_view
 
 
@@ -77,6 +87,31 @@
         replay = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
         self.assertIsInstance(replay, Reply)
 
+    def test_foreign_key_claimed_by_another_entry_goes_there(self) -> None:
+        """A caller would be told that nobody knows its order, although the other entry does."""
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        self.assertEqual(self.bench.arrive("POST", "/booking/new", key="a-foreign-key"), [])
+        other = make_view(1).by_id["entry-2"]
+        actions = self.core.claim_settled(claim.request_id, ClaimedBy(other.incarnation), 0.1)
+        self.assertEqual([a.request_id for a in actions], [claim.request_id, "r2"])
+        for action in actions:
+            self.assertIsInstance(action, Forward)
+            self.assertEqual(action.entry, other.address)
+            self.assertFalse(action.dispatch_only)
+
+    def test_foreign_key_claimed_by_a_gone_entry_is_looked_up(self) -> None:
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        [fetch] = self.core.claim_settled(claim.request_id, ClaimedBy("f" * 16), 0.1)
+        self.assertEqual(fetch, FetchOutcome(claim.request_id, "f" * 16, "a-foreign-key"))
+        [refused] = self.core.outcome_fetched(claim.request_id, False, None, 0.2)
+        self.assertEqual(refused.refusal.code, Code.HOME_GONE)
+
+    def test_foreign_key_of_an_older_claim_of_our_own_is_not_run(self) -> None:
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        mine = ClaimedBy(self.core.keys.incarnation)
+        [refused] = self.core.claim_settled(claim.request_id, mine, 0.1)
+        self.assertEqual(refused.refusal.code, Code.HOME_GONE)
+
     def test_connection_lost_after_dispatch_is_never_tried_again(self) -> None:
         """A passenger would be booked twice.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -241,6 +241,26 @@
 
         self.run_on_loop(work())
 
+    def test_callers_own_key_is_run_once_at_any_entry(self) -> None:
+        """A builder's order gets no answer at one entry and its answer is lost at the next.
+
+        The key is of the builder's own making. The first entry claimed and ran it; the repeat
+        comes to the other one, which must neither run it nor say that nobody knows.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=2) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                request = b"POST /booking/ HTTP/1.1\r\nIdempotency-Key: builders-key"
+                request += b"\r\nContent-Length: 4\r\n\r\nboat"
+                answers = [await whole.ask(request, number) for number in (1, 2, 1)]
+                self.assertEqual([answer.body for answer in answers], [b"whole"] * 3)
+                self.assertEqual(len(whole.backend.heads), 1)
+                await asyncio.gather(*(daemon.stop() for daemon in whole.daemons))
+
+        self.run_on_loop(work())
+
     def test_fresh_entry_begins_while_the_store_is_out(self) -> None:
         """A VM is replaced in an outage of the store, and its callers wait for minutes.
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -23,6 +23,7 @@
     Begin,
     Cancel,
     Claim,
+    ClaimedBy,
     ClaimResult,
     Dispatch,
     Failure,
@@ -286,7 +287,7 @@
     def _claim(self, core: Core, action: Claim) -> None:
         holder = self.claims.setdefault(action.key, core.keys.incarnation)
         ours = holder == core.keys.incarnation
-        result = ClaimResult.OURS if ours else ClaimResult.TAKEN
+        result = ClaimResult.OURS if ours else ClaimedBy(holder)
         self.carry_out(core.me, core.claim_settled(action.request_id, result, self.now))
 
     def _answer_hop(
