Call callers in only with a policy no older than what peers have

A fresh entry said it was ready by its first read of the store, which may be old. It now also waits while a peer heard has a newer version, and in an outage until enough peers were heard; once ready it stays ready.

--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -84,6 +84,7 @@
         self.node = self.node_type(settings, self._incarnation, self._metrics, self._clock)
         self.node.on_core = self._core_made
         self._follow = self._make_follow()
+        self.node.is_current = lambda: self._follow.is_ready(POLICY_NAME)
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
--- a/briarspur/follow.py
+++ b/briarspur/follow.py
@@ -72,6 +72,7 @@
         self._peer_count = 0
         self._members_changed = asyncio.Event()
         self._fetching: set[str] = set()
+        self._ready: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> "Follow":
@@ -94,10 +95,19 @@
         gone.set()
 
     def is_ready(self, name: str) -> bool:
-        """Whether the version in force may be served by; see :class:`Readiness`."""
+        """Whether the version in force may be served by; see :class:`Readiness`.
+
+        Once ready it stays so: a newer version that is heard of and not yet fetched is no reason
+        to send callers away.
+        """
+        if name in self._ready:
+            return True
         follower = self._followers_by_name[name]
         wanted = any(follower.wants(version) for version in self._wanted_by_name[name].values())
-        return self._readiness_by_name[name].is_ready(follower.version, wanted, self._peer_count)
+        readiness = self._readiness_by_name[name]
+        if readiness.is_ready(follower.version, wanted, self._peer_count):
+            self._ready.add(name)
+        return name in self._ready
 
     def store_fails(self, name: str) -> bool:
         """Whether the last call of the store for an object failed."""
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -54,6 +54,8 @@
         Called once, when there is a core; gives it the first view of the members.
     on_actions : callable
         Carries out actions that a change of policy or members brings.
+    is_current : callable
+        Returns whether the policy in force is new enough to call callers in.
     """
 
     core_type: type[Core] = Core
@@ -70,6 +72,7 @@
         self.leaving = False
         self.on_core: Callable[[Core], None] = lambda core: None
         self.on_actions: Callable[[list[Action]], None] = lambda actions: None
+        self.is_current: Callable[[], bool] = lambda: True
         self.plan_version = 0
         self._metrics = metrics
         self._clock = clock
@@ -245,7 +248,9 @@
 
     def is_ready(self) -> bool:
         """Return whether callers may come."""
-        return not self.leaving and self.core is not None and self.core.ready()
+        if self.leaving or self.core is None or not self.is_current():
+            return False
+        return self.core.ready()
 
     def status(self) -> dict[str, object]:
         """Return the fields of the status page."""
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import unittest
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -31,11 +31,11 @@
 class Fleet:
     """Entries that reach one another in memory and probe one random peer each second."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, zones: Sequence[str] = ZONES) -> None:
         self.rng = random.Random(3)
         self.store = MemoryStore()
         self.pushes_fail = False
-        self.zones = {f"e{n}": ZONES[n % 3] for n in range(count)}
+        self.zones = {f"e{n}": zones[n % len(zones)] for n in range(count)}
         self.follows: dict[str, Follow] = {}
         self.followers: dict[str, Follower[bytes]] = {}
         self.paused: set[str] = set()
@@ -296,6 +296,8 @@
             await fleet.reaches(2)
             await asyncio.sleep(5.0)
             self.assertTrue(fresh.is_ready("policy"))
+            fresh.heard("e1", [ObjectVersion("policy", 9, b"")])
+            self.assertTrue(fresh.is_ready("policy"))
             self.assertEqual(fleet.followers["e30"].value, b"second")
 
         self.run_fleet(story)
--- a/tools/spreadtimes.py
+++ b/tools/spreadtimes.py
@@ -16,9 +16,9 @@
 QUIET = 60.0
 
 
-async def measure(count: int, fault: str) -> tuple[float, float]:
+async def measure(count: int, zones: int, fault: str) -> tuple[float, float]:
     """Return the longest time to be everywhere, and store calls a second while nothing changes."""
-    fleet = Fleet(count)
+    fleet = Fleet(count, [f"zone-{n}" for n in range(zones)])
     probes = asyncio.create_task(fleet.probe())
     version = await fleet.store.put("policy", b"first", 0)
     for me in list(fleet.zones):
@@ -50,13 +50,14 @@
 
 
 def main() -> int:
-    """Measure the sizes given as arguments, 30 entries if none is."""
+    """Measure the sizes given as arguments ``entries:zones``, 30 in 3 zones if none is."""
     logging.getLogger("briarspur").setLevel(logging.ERROR)
-    print("entries  fault             longest of 5, s  store calls/s, 3 zones")
-    for count in [int(argument) for argument in sys.argv[1:]] or [30]:
+    print("entries  zones  fault             longest of 5, s  store calls/s")
+    for argument in sys.argv[1:] or ["30:3"]:
+        count, zones = (int(part) for part in argument.split(":"))
         for fault in FAULTS:
-            longest, calls = run_virtual(measure(count, fault))
-            print(f"{count:7}  {fault:16}  {longest:15.1f}  {calls:.2f}", flush=True)
+            longest, calls = run_virtual(measure(count, zones, fault))
+            print(f"{count:7}  {zones:5}  {fault:16}  {longest:15.1f}  {calls:.2f}", flush=True)
     return 0
 
 
