--- a/tests/coord/test_lease.py
+++ b/tests/coord/test_lease.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from briarspur.coord.envelope import Envelope, open_envelope
+from briarspur.coord.errors import StoreError
 from briarspur.coord.invariants import invariants
 from briarspur.coord.lease import FencedOff, FencedWriter, Lease, NotHeld
 from briarspur.coord.memorystore import MemoryStore, StoreFault
@@ -189,6 +190,9 @@
     def settle(self) -> None:
         for _ in range(8):
             self.loop.run_until_complete(asyncio.sleep(0))
+        for task in [task for holder in self.holders for task in holder.tasks if task.done()]:
+            if not task.cancelled() and not isinstance(task.exception(), StoreError):
+                task.result()
 
     def start(self, holder: Holder, run: Callable[[], object]) -> None:
         holder.tasks = [task for task in holder.tasks if not task.done()]
