--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -167,11 +167,14 @@
             if each is None:
                 continue
             each.key = None
-            if home is None:
-                out.append(FetchOutcome(request_id, holder or "", key.text))
-            elif each.request.forwarded_by is not None or holder == self._keys.incarnation:
-                # Forgotten here, or sent here by an entry that took us for the holder.
+            if holder == self._keys.incarnation:
+                # An older claim of our own, whose key the memory has forgotten: it may have run.
                 self._finals.finish(each, Refusal(Code.HOME_GONE), out)
+            elif home is None:
+                out.append(FetchOutcome(request_id, holder or "", key.text))
+            elif each.request.forwarded_by is not None:
+                # Two entries with different views would send the request to and fro.
+                self._finals.finish(each, Refusal(Code.HOME_UNREACHABLE, retry_after=1.0), out)
             else:
                 self._forward(each, home, now, out, to_home=True)
         if not work.caller_here:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import unittest
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -17,7 +17,7 @@
 from briarspur.coord.store import StoredObject
 from briarspur.errors import PeerError
 from briarspur.follow import Follow
-from briarspur.gossip import ObjectCopy
+from briarspur.gossip import ObjectCopy, ObjectVersion
 from tests.virtualtime import run_virtual
 
 ZONES = ("north-a", "north-b", "south-a")
@@ -31,11 +31,11 @@
 class Fleet:
     """Entries that reach one another in memory and probe one random peer each second."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, zones: Sequence[str] = ZONES) -> None:
         self.rng = random.Random(3)
         self.store = MemoryStore()
         self.pushes_fail = False
-        self.zones = {f"e{n}": ZONES[n % 3] for n in range(count)}
+        self.zones = {f"e{n}": zones[n % len(zones)] for n in range(count)}
         self.follows: dict[str, Follow] = {}
         self.followers: dict[str, Follower[bytes]] = {}
         self.paused: set[str] = set()
@@ -170,6 +170,31 @@
         self.assertEqual(self.follow.offered(replace(copy, version=2)), 2)
 
 
+class RejectedVersionTest(unittest.IsolatedAsyncioTestCase):
+    """A version that is not valid here costs one transfer, not one with each heartbeat."""
+
+    async def test_rejected_version_is_fetched_once(self) -> None:
+        """An entry of an older program fetches a megabyte a second, for as long as it runs.
+
+        It cannot read the newest policy; each heartbeat of the others names that version.
+        """
+        fetched: list[int] = []
+        digest = hashlib.sha256(b"bad").digest()
+
+        class Peers(Fleet):
+            async def fetch(self, entry: str, name: str, newer_than: int) -> ObjectCopy | None:
+                fetched.append(newer_than)
+                return ObjectCopy(name, 2, digest, b"bad")
+
+        fleet = Peers(1)
+        follower: Follower[None] = Follower("policy", lambda stored: Error("bad"))
+        follow = Follow("e0", ZONES[0], fleet.store, fleet, [follower], random.Random(1))
+        for _ in range(5):
+            follow.heard("e1", [ObjectVersion("policy", 2, digest)])
+            await asyncio.sleep(0.01)
+        self.assertEqual(fetched, [0])
+
+
 class FollowTest(unittest.TestCase):
     """Thirty entries in three zones."""
 
@@ -271,6 +296,8 @@
             await fleet.reaches(2)
             await asyncio.sleep(5.0)
             self.assertTrue(fresh.is_ready("policy"))
+            fresh.heard("e1", [ObjectVersion("policy", 9, b"")])
+            self.assertTrue(fresh.is_ready("policy"))
             self.assertEqual(fleet.followers["e30"].value, b"second")
 
         self.run_fleet(story)
