One collector of service levels at a time, by a lease; an outage silences no entry

The lease saves load; correctness does not rest on it. A holder that has not learnt of a loss goes on through an outage, with the last policy and list of VMs.

The lease gains a property for work that does no harm when two do it.

--- a/briarspur/burn.py
+++ b/briarspur/burn.py
@@ -6,159 +6,37 @@
 
 import argparse
 import asyncio
-import logging
 import sys
 import time
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+import uuid
+from collections.abc import Mapping, Sequence
 
-from pydantic import ValidationError
-
-from briarspur import daemon, logs
+from briarspur import daemon
+from briarspur.burncollect import Burn, BurnReader
 from briarspur.burnreport import BurnReport, make_report, report_html, report_text
 from briarspur.clicontext import open_context
-from briarspur.collect import Collector, Counted
+from briarspur.collect import Collector
 from briarspur.coord.errors import StoreError
+from briarspur.coord.lease import Lease
+from briarspur.coord.store import ObjectStore
+from briarspur.coord.writer import ConditionalWriter
 from briarspur.documents import load_settings
-from briarspur.errors import DocumentError, Fault, PeerError, SettingsError
+from briarspur.errors import DocumentError, Fault, SettingsError
 from briarspur.exits import ExitCode
-from briarspur.fetch import Endpoint, Fetcher
 from briarspur.latency import encode
 from briarspur.levelhistory import LevelHistory
-from briarspur.levels import LEVELS_PATH, LevelsDocument
 from briarspur.levelseries import LevelSeries
 from briarspur.oneshot import run_once
 from briarspur.policy import Objective, Policy, compile_policy
-from briarspur.porcelain import Directory
 from briarspur.printing import to_json
 from briarspur.repository import PolicyRepository
 from briarspur.settings import BurnSettings
-from briarspur.windows import HOUR_S, SLOT_S
-
-__all__ = ["Burn", "BurnReader", "EntryLevels", "main", "read_report"]
 
-SETTLE_S = 2.0
-"""Seconds after a minute's end at which entries are read."""
+__all__ = ["live_report", "main", "read_report"]
 
-ASKED_AT_ONCE = 20
+LEASE_S = 30.0
+LEASE_STEPS = 3
 LIVE_NOTE = "sums since each entry started: every window shows the same, and none is known"
-MAX_PENDING = 360
-"""Minutes a service that wait for the store; older ones are dropped and so stay missing."""
-
-
-@dataclass(frozen=True, slots=True)
-class EntryLevels:
-    """What the entries answered, and by entry id why others did not."""
-
-    documents: tuple[LevelsDocument, ...]
-    failures_by_entry: dict[str, str]
-
-
-class BurnReader:
-    """Reads all entries' counts."""
-
-    def __init__(self, directory: Directory, fetcher: Fetcher) -> None:
-        self._directory = directory
-        self._fetcher = fetcher
-
-    async def read(self) -> EntryLevels:
-        """Ask every entry on the list of VMs, a few at once."""
-        endpoints = await self._directory.endpoints()
-        gate = asyncio.Semaphore(ASKED_AT_ONCE)
-
-        async def ask(endpoint: Endpoint) -> LevelsDocument | str:
-            async with gate:
-                return await self._ask(endpoint)
-
-        answers = await asyncio.gather(*(ask(endpoint) for endpoint in endpoints))
-        failures = {
-            endpoint.name: answer
-            for endpoint, answer in zip(endpoints, answers, strict=True)
-            if isinstance(answer, str)
-        }
-        documents = tuple(answer for answer in answers if isinstance(answer, LevelsDocument))
-        return EntryLevels(documents, failures)
-
-    async def _ask(self, endpoint: Endpoint) -> LevelsDocument | str:
-        try:
-            return LevelsDocument.model_validate(
-                await self._fetcher.get_json(endpoint, LEVELS_PATH)
-            )
-        except PeerError:
-            return "no answer"
-        except ValidationError:
-            return "malformed answer"
-
-
-class Burn:
-    """Collects once a minute until it is stopped.
-
-    Parameters
-    ----------
-    wall : callable
-        Unix time in seconds.
-    """
-
-    def __init__(
-        self,
-        repository: PolicyRepository,
-        reader: BurnReader,
-        history: LevelHistory,
-        wall: Callable[[], float] = time.time,
-    ) -> None:
-        self._repository = repository
-        self._reader = reader
-        self._history = history
-        self._wall = wall
-        self._collector = Collector()
-        self._pending_by_service: dict[str, list[Counted]] = {}
-
-    async def run(self) -> None:
-        """Collect for ever; a failure is logged and the next minute is tried."""
-        while True:
-            await asyncio.sleep(SLOT_S - self._wall() % SLOT_S + SETTLE_S)
-            try:
-                await self.collect()
-            except (StoreError, DocumentError) as error:
-                logs.event("levels-not-collected", logging.WARNING, error=str(error))
-
-    async def collect(self) -> None:
-        """Read the entries, and write the minute that has ended and those that wait."""
-        now = self._wall()
-        policy = await self._policy()
-        if policy is None:
-            return
-        levels = await self._reader.read()
-        counted = self._collector.take(
-            now, policy.services_by_name, levels.documents, levels.failures_by_entry
-        )
-        for service, minute in counted.items():
-            pending = self._pending_by_service.setdefault(service, [])
-            pending.append(minute)
-            del pending[:-MAX_PENDING]
-            await self._write(service, pending)
-            if now % HOUR_S < SLOT_S + SETTLE_S:
-                await self._history.forget(service, now)
-
-    async def _policy(self) -> Policy | None:
-        current = await self._repository.current()
-        return compile_policy(current.document, current.version) if current else None
-
-    async def _write(self, service: str, pending: list[Counted]) -> None:
-        """Write the minutes that wait, the oldest first; what cannot be written waits on."""
-        while pending:
-            try:
-                await self._history.write(service, pending[0])
-            except StoreError as error:
-                logs.event(
-                    "levels-not-written",
-                    logging.WARNING,
-                    service=service,
-                    waiting=len(pending),
-                    error=str(error),
-                )
-                return
-            del pending[0]
 
 
 async def read_report(
@@ -212,6 +90,18 @@
     return make_report(policy.user, _objectives(policy, None), series, now, LIVE_NOTE)
 
 
+def _lease(store: ObjectStore) -> Lease:
+    """Return the lease of the one process that collects."""
+    writer = ConditionalWriter(store, lambda: uuid.uuid4().hex)
+    return Lease(store, "burn", uuid.uuid4().hex, LEASE_S, (), time.monotonic, writer)
+
+
+async def _keep(lease: Lease) -> None:
+    while True:
+        await lease.step()
+        await asyncio.sleep(LEASE_S / LEASE_STEPS)
+
+
 class _Daemon:
     """Runs :class:`Burn` on the platform that the settings name."""
 
@@ -226,7 +116,13 @@
     async def _run(self) -> None:
         async with open_context(self._settings, False, "briarspur-burn") as context:
             reader = BurnReader(context.directory, context.fetcher)
-            await Burn(context.repository, reader, LevelHistory(context.store)).run()
+            history = LevelHistory(context.store)
+            lease = _lease(context.store)
+            burn = Burn(context.repository, reader, history, lambda: lease.not_known_lost)
+            try:
+                await asyncio.gather(burn.run(), _keep(lease))
+            finally:
+                await lease.release()
 
     async def stop(self) -> None:
         """End; a minute that is not yet written stays missing."""
--- /dev/null
+++ b/briarspur/burncollect.py
@@ -0,0 +1,166 @@
+"""Collecting service-level counts from all entries, a minute at a time, into the store."""
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pydantic import ValidationError
+
+from briarspur import logs
+from briarspur.collect import Collector, Counted
+from briarspur.coord.errors import StoreError
+from briarspur.errors import DocumentError, PeerError
+from briarspur.fetch import Endpoint, Fetcher
+from briarspur.levelhistory import LevelHistory
+from briarspur.levels import LEVELS_PATH, LevelsDocument
+from briarspur.policy import Policy, compile_policy
+from briarspur.porcelain import Directory
+from briarspur.repository import PolicyRepository
+from briarspur.windows import HOUR_S, SLOT_S
+
+__all__ = ["Burn", "BurnReader", "EntryLevels"]
+
+SETTLE_S = 2.0
+"""Seconds after a minute's end at which entries are read."""
+
+ASKED_AT_ONCE = 20
+MAX_PENDING = 360
+"""Minutes a service that wait for the store; older ones are dropped and so stay missing."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryLevels:
+    """What the entries answered, and by entry id why others did not."""
+
+    documents: tuple[LevelsDocument, ...]
+    failures_by_entry: dict[str, str]
+
+
+class BurnReader:
+    """Reads all entries' counts."""
+
+    def __init__(self, directory: Directory, fetcher: Fetcher) -> None:
+        self._directory = directory
+        self._fetcher = fetcher
+        self._endpoints: list[Endpoint] = []
+
+    async def read(self) -> EntryLevels:
+        """Ask every entry on the list of VMs, a few at once.
+
+        While the list can't be read, the last one is used: an outage of the platform must not look
+        like silence of all entries.
+        """
+        with contextlib.suppress(StoreError):
+            self._endpoints = await self._directory.endpoints()
+        endpoints = self._endpoints
+        gate = asyncio.Semaphore(ASKED_AT_ONCE)
+
+        async def ask(endpoint: Endpoint) -> LevelsDocument | str:
+            async with gate:
+                return await self._ask(endpoint)
+
+        answers = await asyncio.gather(*(ask(endpoint) for endpoint in endpoints))
+        failures = {
+            endpoint.name: answer
+            for endpoint, answer in zip(endpoints, answers, strict=True)
+            if isinstance(answer, str)
+        }
+        documents = tuple(answer for answer in answers if isinstance(answer, LevelsDocument))
+        return EntryLevels(documents, failures)
+
+    async def _ask(self, endpoint: Endpoint) -> LevelsDocument | str:
+        try:
+            return LevelsDocument.model_validate(
+                await self._fetcher.get_json(endpoint, LEVELS_PATH)
+            )
+        except PeerError:
+            return "no answer"
+        except ValidationError:
+            return "malformed answer"
+
+
+class Burn:
+    """Collects once a minute until it is stopped.
+
+    Parameters
+    ----------
+    may_collect : callable
+        Whether this process is the one that collects.
+    wall : callable
+        Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        repository: PolicyRepository,
+        reader: BurnReader,
+        history: LevelHistory,
+        may_collect: Callable[[], bool],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._repository = repository
+        self._reader = reader
+        self._history = history
+        self._may_collect = may_collect
+        self._wall = wall
+        self._collector = Collector()
+        self._policy: Policy | None = None
+        self._pending_by_service: dict[str, list[Counted]] = {}
+
+    async def run(self) -> None:
+        """Collect for ever; a failure is logged and the next minute is tried."""
+        while True:
+            await asyncio.sleep(SLOT_S - self._wall() % SLOT_S + SETTLE_S)
+            try:
+                await self.collect()
+            except (StoreError, DocumentError) as error:
+                logs.event("levels-not-collected", logging.WARNING, error=str(error))
+
+    async def collect(self) -> None:
+        """Read the entries, and write the minute that has ended and those that wait."""
+        if not self._may_collect():
+            # Another process counts this time; a difference from before would count it again.
+            self._collector = Collector()
+            return
+        await self._read_policy()
+        if self._policy is None:
+            return
+        levels = await self._reader.read()
+        now = self._wall()
+        counted = self._collector.take(
+            now, self._policy.services_by_name, levels.documents, levels.failures_by_entry
+        )
+        for service, minute in counted.items():
+            pending = self._pending_by_service.setdefault(service, [])
+            pending.append(minute)
+            del pending[:-MAX_PENDING]
+            await self._write(service, pending)
+            if now % HOUR_S < SLOT_S + SETTLE_S:
+                await self._history.forget(service, now)
+
+    async def _read_policy(self) -> None:
+        """Read the services to collect; while the store is down, those of the last policy."""
+        try:
+            current = await self._repository.current()
+        except StoreError:
+            return
+        self._policy = compile_policy(current.document, current.version) if current else None
+
+    async def _write(self, service: str, pending: list[Counted]) -> None:
+        """Write the minutes that wait, the oldest first; what cannot be written waits on."""
+        while pending:
+            try:
+                await self._history.write(service, pending[0])
+            except StoreError as error:
+                logs.event(
+                    "levels-not-written",
+                    logging.WARNING,
+                    service=service,
+                    waiting=len(pending),
+                    error=str(error),
+                )
+                return
+            del pending[0]
--- a/briarspur/coord/lease.py
+++ b/briarspur/coord/lease.py
@@ -132,6 +132,14 @@
         """Whether this process may act under the lease at ``now``."""
         return now < self._held_until
 
+    @property
+    def not_known_lost(self) -> bool:
+        """Whether this process took the lease and has not learnt that it lost it.
+
+        It may be lost all the same: only for work that does no harm when two do it at once.
+        """
+        return self._base is not None
+
     async def step(self) -> bool:
         """Renew the lease or contend for it, once; return whether it is held afterwards.
 
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -3,7 +3,8 @@
 import json
 import unittest
 
-from briarspur.burn import Burn, BurnReader, live_report, read_report
+from briarspur.burn import live_report, read_report
+from briarspur.burncollect import Burn, BurnReader
 from briarspur.burnreport import BurnReport, report_html, report_text
 from briarspur.codes import Code
 from briarspur.coord.store import ABSENT
@@ -32,7 +33,10 @@
         self.reader = BurnReader(self.entries, self.entries)
         self.history = LevelHistory(self.store)
         self.now = START
-        self.burn = Burn(self.repository, self.reader, self.history, lambda: self.now)
+        self.collects = True
+        self.burn = Burn(
+            self.repository, self.reader, self.history, lambda: self.collects, lambda: self.now
+        )
         self.levels = Levels("e1", "a", "north-a", START - 1_000)
         self.levels.set_objectives({"times": 0.5, "booking": 0.5})
 
@@ -87,6 +91,36 @@
         times = next(s.burn for s in report.services if s.burn.service == "times")
         self.assertEqual((times.windows[0].good, times.windows[0].bad), (1, 4))
 
+    async def test_a_store_outage_does_not_silence_the_entries(self) -> None:
+        # The platform is down for two minutes; callers are refused meanwhile. The collector goes
+        # on with the policy and the list it has, and writes when the platform is back.
+        await self.minute(good=1, bad=0)
+        self.store.down = True
+        await self.minute(good=0, bad=4)
+        await self.minute(good=0, bad=3)
+        self.store.down = False
+        await self.minute(good=1, bad=0)
+        report = await self.report()
+        times = next(s.burn for s in report.services if s.burn.service == "times")
+        self.assertEqual((times.windows[0].good, times.windows[0].bad), (1, 7))
+
+    async def test_a_collector_that_was_relieved_counts_nothing_twice(self) -> None:
+        # One collector loses its lease, another counts for some minutes, the first takes over
+        # again. A difference from its own last reading would count those minutes again.
+        await self.minute(good=1, bad=0)
+        self.collects = False
+        other = Burn(self.repository, self.reader, self.history, lambda: True, lambda: self.now)
+        await self.minute(good=5, bad=0)
+        await other.collect()
+        await self.minute(good=5, bad=2)
+        await other.collect()
+        self.collects = True
+        await self.minute(good=5, bad=0)
+        await self.minute(good=1, bad=0)
+        report = await self.report()
+        times = next(s.burn for s in report.services if s.burn.service == "times")
+        self.assertEqual((times.windows[0].good, times.windows[0].bad), (6, 2))
+
     async def test_without_a_collector_the_entries_sums_are_shown(self) -> None:
         self.levels.record("times", "north", Code.ANSWERED, 0.02)
         self.entries.answers["e1"] = self.levels.snapshot(self.now)
--- a/tests/test_fetch.py
+++ b/tests/test_fetch.py
@@ -1,9 +1,9 @@
 """Tests of reading JSON from another program, over loopback."""
 
 import asyncio
-import threading
 import unittest
 from typing import Any
+from unittest import mock
 
 from briarspur.errors import PeerError, PeerRefusalError
 from tests import reactor
@@ -32,13 +32,19 @@
         server.close()
 
 
+async def _fetch_without_threads() -> Any:
+    from twisted.internet import reactor as installed
+
+    pool = installed.getThreadPool()  # type: ignore[attr-defined]
+    with mock.patch.object(pool, "callInThreadWithCallback", side_effect=AssertionError):
+        return await fetch(WHOLE)
+
+
 class FetchTest(unittest.TestCase):
     """Only a whole, valid answer is taken."""
 
     def test_a_whole_answer_without_a_thread(self) -> None:
-        before = threading.active_count()
-        self.assertEqual(reactor.run(fetch(WHOLE)), {"a": 1})
-        self.assertEqual(threading.active_count(), before)
+        self.assertEqual(reactor.run(_fetch_without_threads()), {"a": 1})
 
     def test_what_is_not_whole_or_valid_is_no_answer(self) -> None:
         cut = WHOLE.replace(b"Content-Length: 8", b"Content-Length: 80")
