--- a/briarspur/cli.py
+++ b/briarspur/cli.py
@@ -15,6 +15,7 @@
 from briarspur.exits import ExitCode
 from briarspur.explain import explain
 from briarspur.oneshot import run_once
+from briarspur.planview import read_plan
 from briarspur.policy import TargetState, compile_policy, parse_policy
 from briarspur.porcelain import Accepted, Race, Refused
 
@@ -206,7 +207,7 @@
 @cappa.command(epilog="Example: `briarspur explain POST /booking/new --client 10.2.0.9`")
 @dataclass
 class Explain:
-    """Say which rule, regions and targets the policy gives a request."""
+    """Say which rule, regions and targets the policy and the plan give a request."""
 
     method: str
     path: str
@@ -215,6 +216,7 @@
 
     async def run(self, context: Context) -> ExitCode:
         """Print the explanation."""
+        planned = None
         if self.file is not None:
             policy = compile_policy(parse_policy(read_file(self.file), self.file), version=0)
         else:
@@ -223,7 +225,9 @@
                 print("no policy is in force", file=sys.stderr)
                 return ExitCode.REFUSED
             policy = compile_policy(current.document, current.version)
-        found = explain(policy, self.method, self.path, self.client)
+            plan = await read_plan(context.store)
+            planned = plan.as_splits() if plan else None
+        found = explain(policy, self.method, self.path, self.client, planned)
         if found.is_error():
             print(found.error, file=sys.stderr)
             return ExitCode.REFUSED
--- a/briarspur/console.py
+++ b/briarspur/console.py
@@ -12,7 +12,6 @@
 from briarspur.errors import SettingsError
 from briarspur.exits import ExitCode
 from briarspur.fetch import HttpFetcher
-from briarspur.levelhistory import LevelHistory
 from briarspur.objects import HttpObjectStore, VmList
 from briarspur.operators import FormGuard, OperatorTokens
 from briarspur.repository import PolicyRepository
@@ -42,7 +41,7 @@
         repository = PolicyRepository(self._store)
         view = ServiceView(
             repository,
-            LevelHistory(self._store),
+            self._store,
             VmDirectory(self._vms),
             HttpFetcher(self._reactor, settings.platform.timeout_s),
             time.time,
--- a/briarspur/explain.py
+++ b/briarspur/explain.py
@@ -1,6 +1,6 @@
-"""Why a request goes where it goes, worked out from the policy alone.
+"""Why a request goes where it goes, worked out from the policy and the plan.
 
-Entries also weigh what the policy does not hold: the plan in force, free slots and failures. This
+Entries also weigh what these do not hold: free slots, failures and what is left of the caps. This
 is what they start from.
 """
 
@@ -14,6 +14,7 @@
 from briarspur.classify import Classifier
 from briarspur.messages import Request
 from briarspur.policy import Policy, Rule, Service, TargetState
+from briarspur.region import Splits
 
 __all__ = ["Explanation", "RegionChoice", "explain", "region_order"]
 
@@ -55,13 +56,17 @@
     notes: tuple[str, ...]
 
 
-def explain(policy: Policy, method: str, path: str, client: str) -> Result[Explanation, str]:
+def explain(
+    policy: Policy, method: str, path: str, client: str, planned: Splits | None = None
+) -> Result[Explanation, str]:
     """Return which rule, regions and targets a request gets, or why it gets none.
 
     Parameters
     ----------
     client : str
         IP number of the caller.
+    planned : Splits or None
+        The splits of the plan in force, which go before those of the policy.
     """
     block = parse_block(client)
     if block is None:
@@ -73,7 +78,7 @@
         code = found.error.code
         return Error(f"refused with {int(code)} {code.name}: {found.error.detail}")
     classified = found.ok
-    regions = region_order(policy, classified.service, classified.home)
+    regions = region_order(policy, classified.service, classified.home, planned)
     return Ok(
         Explanation(
             policy_version=policy.version,
@@ -98,12 +103,16 @@
     return f"longest prefix that fits: {max(fitting, key=lambda network: network.prefixlen)}"
 
 
-def region_order(policy: Policy, service: Service, home: str) -> tuple[RegionChoice, ...]:
+def region_order(
+    policy: Policy, service: Service, home: str, planned_splits: Splits | None = None
+) -> tuple[RegionChoice, ...]:
     """Return the regions of a service for callers of ``home``, the preferred ones first."""
-    shares = service.split_by_home.get(home, {home: 1.0})
+    of_plan = (planned_splits or {}).get(service.name, {}).get(home)
+    why = "the plan" if of_plan else "the split of the policy"
+    shares = of_plan or service.split_by_home.get(home) or {home: 1.0}
     planned = sorted((r for r in shares if shares[r] > 0), key=lambda r: (-shares[r], r))
     spill = [r for r in (home, *policy.regions_by_name[home].spill_to) if r not in planned]
-    choices = [_choice(policy, service, r, "the split of the policy", shares[r]) for r in planned]
+    choices = [_choice(policy, service, r, why, shares[r]) for r in planned]
     choices += [
         _choice(policy, service, r, "home" if r == home else f"spill_to of {home}", 0.0)
         for r in spill
--- a/briarspur/serviceview.py
+++ b/briarspur/serviceview.py
@@ -8,11 +8,14 @@
 from briarspur import burnreport, porcelain
 from briarspur.burnreport import ServiceReport
 from briarspur.coord.errors import StoreError
+from briarspur.coord.store import ObjectStore
 from briarspur.errors import DocumentError
 from briarspur.explain import RegionChoice, region_order
 from briarspur.fetch import Fetcher
 from briarspur.levelhistory import LevelHistory
 from briarspur.levelseries import LevelSeries
+from briarspur.plan import PlanDocument
+from briarspur.planview import read_plan
 from briarspur.policy import Policy, TargetState, compile_policy
 from briarspur.porcelain import Directory
 from briarspur.repository import PolicyRepository
@@ -51,13 +54,14 @@
     def __init__(
         self,
         repository: PolicyRepository,
-        history: LevelHistory,
+        store: ObjectStore,
         directory: Directory,
         fetcher: Fetcher,
         wall: Callable[[], float],
     ) -> None:
         self._repository = repository
-        self._history = history
+        self._store = store
+        self._history = LevelHistory(store)
         self._directory = directory
         self._fetcher = fetcher
         self._wall = wall
@@ -85,12 +89,14 @@
         policy = compile_policy(current.document, current.version)
         report = await self._report(name)
         fleet = await self.fleet()
+        plan = await read_plan(self._store)
         shares = split_now((await self._series(name)).slots, self._wall())
         return {
             "name": name,
             "policy_version": policy.version,
             "service": policy.services_by_name[name],
-            "planned": _planned(policy, name),
+            "plan": plan,
+            "planned": _planned(policy, name, plan),
             "regions": [_region(policy, name, r, shares, fleet) for r in policy.regions_by_name],
             "fleet": fleet,
             "report": report,
@@ -118,10 +124,13 @@
         return found[1]
 
 
-def _planned(policy: Policy, service: str) -> dict[str, tuple[RegionChoice, ...]]:
-    """Return by home region the order of regions that the policy gives."""
+def _planned(
+    policy: Policy, service: str, plan: PlanDocument | None
+) -> dict[str, tuple[RegionChoice, ...]]:
+    """Return by home region the order of regions that plan and policy give."""
     found = policy.services_by_name[service]
-    return {home: region_order(policy, found, home) for home in policy.regions_by_name}
+    splits = plan.as_splits() if plan else None
+    return {home: region_order(policy, found, home, splits) for home in policy.regions_by_name}
 
 
 def _region(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -33,7 +33,7 @@
         @contextlib.asynccontextmanager
         async def open_context(_: str | None, json: bool, author: str) -> AsyncIterator[Context]:
             repository = PolicyRepository(self.store, at_once)
-            context = Context(json, author, repository, self.entries, self.entries)
+            context = Context(json, author, repository, self.entries, self.entries, self.store)
             context.now = self.now
             context.sleep = at_once  # type: ignore[assignment]
             yield context
--- a/tests/test_consolepages.py
+++ b/tests/test_consolepages.py
@@ -8,10 +8,11 @@
 
 from briarspur import porcelain
 from briarspur.consolepages import Asked, Console, Page
+from briarspur.coord.envelope import Envelope
 from briarspur.coord.store import ABSENT
 from briarspur.errors import SettingsError
-from briarspur.levelhistory import LevelHistory
 from briarspur.operators import FormGuard, OperatorTokens
+from briarspur.plan import PlanDocument, PlanSplit
 from briarspur.repository import PolicyRepository
 from briarspur.serviceview import ServiceView
 from tests.examples import small_policy
@@ -30,8 +31,7 @@
         self.repository = PolicyRepository(self.store, at_once)
         await porcelain.apply(self.repository, parsed(small_policy()), ABSENT, sign("t1"))
         entries = FakeEntries(["e1"])
-        history = LevelHistory(self.store)
-        view = ServiceView(self.repository, history, entries, entries, lambda: 1_000_000.0)
+        view = ServiceView(self.repository, self.store, entries, entries, lambda: 1_000_000.0)
         self.token_file = self.enterContext(tempfile.NamedTemporaryFile("w+"))
         self.token_file.write(f"ana {TOKEN}\n")
         self.token_file.flush()
@@ -187,6 +187,18 @@
         self.assertEqual((await self.accept(back)).status, 200)
         self.assertEqual(len(await self.repository.history(10)), 3)
 
+    async def test_a_service_page_shows_the_plan_in_force(self) -> None:
+        split = {"shares": {"north": 0.75, "south": 0.25}}
+        plan = PlanDocument.model_validate(
+            {"term": 3, "number": 9, "holder": "steer-2", "policy_version": 1, "splits": {}}
+        )
+        splits = {"times": {"north": PlanSplit.model_validate(split)}}
+        body = plan.model_copy(update={"splits": splits}).model_dump_json()
+        await self.store.put("plan", Envelope("t", 3, body).encode(), ABSENT)
+        page = (await self.get("/services/times")).html
+        self.assertIn("north 75.0 %, then south 25.0 %", page)
+        self.assertIn("steer-2, term 3, number 9", page)
+
     async def test_every_page_shows_without_entries_levels_or_policy(self) -> None:
         paths = ("/", "/edit", "/status", "/drains", "/history", "/services/times")
         for path in paths:
--- a/tests/test_operators_story.py
+++ b/tests/test_operators_story.py
@@ -47,7 +47,7 @@
     def start(self, *arguments: str) -> None:
         log = self.enterContext(open(self.folder / f"{arguments[0]}.log", "w"))
         process = subprocess.Popen(
-            [sys.executable, "-m", *arguments], cwd=ROOT, env=environment(), stderr=log
+            [sys.executable, "-m", *arguments], cwd=ROOT, env=environment(), stdout=log, stderr=log
         )
         self.addCleanup(process.wait, 10)
         self.addCleanup(process.terminate)
