--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -4,8 +4,20 @@
 import unittest
 from typing import Any
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from briarspur.edits import add, move_rule_up, remove
-from briarspur.forms import SECTIONS, Section, apply_fields, choose_groups, fields_of, located
+from briarspur.errors import DocumentError
+from briarspur.forms import (
+    SECTIONS,
+    Section,
+    apply_fields,
+    choose_groups,
+    fields_of,
+    located,
+    parse_draft,
+)
 from briarspur.policy import parse_policy
 from briarspur.porcelain import as_json, check
 from tests.examples import small_policy
@@ -76,6 +88,34 @@
         self.assertEqual(apply_fields(draft(), {"user": "x", "a.b": "c"}), draft())
 
 
+NAMES = st.sampled_from(["times", "north", "rules", "path", "objective", "0", "planned", "x.y", ""])
+LEAVES = st.none() | st.booleans() | st.integers() | st.text(max_size=3) | st.floats()
+VALUES = st.recursive(
+    LEAVES, lambda inner: st.lists(inner, max_size=2) | st.dictionaries(NAMES, inner, max_size=3)
+)
+ROOTS = ("services", "regions", "caps", "targets", "entries", "blocks", "user")
+
+
+class AnyDraftTest(unittest.TestCase):
+    """A browser can send any text as a draft; the forms show it or refuse it, and never break."""
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=300)
+    @given(st.dictionaries(st.sampled_from(ROOTS), VALUES), st.sampled_from(ROOTS))
+    def test_any_draft_is_shown_or_refused(self, document: dict[str, Any], root: str) -> None:
+        try:
+            draft = parse_draft(json.dumps(document))
+        except DocumentError:
+            return
+        for section in SECTIONS:
+            groups = fields_of(draft, section)
+            typed = {f.path: "7" for fields in groups.values() for f in fields}
+            located(check(json.dumps(apply_fields(draft, typed))).faults)
+        for path in (root, f"{root}.times", f"{root}.times.rules", f"{root}.times.rules.0"):
+            for operation in (remove, move_rule_up):
+                operation(draft, path)
+            add(draft, path, "new")
+
+
 class EditsTest(unittest.TestCase):
     """Adding and removing."""
 
