--- a/briarspur/burn.py
+++ b/briarspur/burn.py
@@ -14,7 +14,7 @@
 from briarspur import daemon
 from briarspur.burncollect import Burn, BurnReader
 from briarspur.burnreport import BurnReport, make_report, report_html, report_text
-from briarspur.clicontext import open_context
+from briarspur.clicontext import open_context, reader_gone
 from briarspur.collect import Collector
 from briarspur.coord.errors import StoreError
 from briarspur.coord.lease import Lease
@@ -150,6 +150,8 @@
         )
     try:
         return run_once(lambda: _once(arguments))
+    except BrokenPipeError:
+        return reader_gone()
     except DocumentError as error:
         print(error, file=sys.stderr)
         return ExitCode.INVALID
--- a/briarspur/cli.py
+++ b/briarspur/cli.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from briarspur import porcelain, printing
-from briarspur.clicontext import Context, open_context, read_file, show
+from briarspur.clicontext import Context, open_context, read_file, reader_gone, show
 from briarspur.coord.errors import StoreError, StoreUnavailableError, StoreUnclearError
 from briarspur.errors import DocumentError, PeerError
 from briarspur.exits import ExitCode
@@ -303,6 +303,8 @@
     arguments = cappa.parse(Briarspur, argv=list(argv) if argv is not None else None)
     try:
         return run_once(lambda: _run(arguments))
+    except BrokenPipeError:
+        return reader_gone()
     except DocumentError as error:
         print(error, file=sys.stderr)
         return ExitCode.INVALID
--- a/briarspur/clicontext.py
+++ b/briarspur/clicontext.py
@@ -1,6 +1,7 @@
 """What a command needs: settings, store, entries, clock and the way it prints."""
 
 import asyncio
+import os
 import sys
 import time
 import uuid
@@ -15,6 +16,7 @@
 from briarspur.coord.store import ObjectStore
 from briarspur.documents import load_settings
 from briarspur.errors import Fault, SettingsError
+from briarspur.exits import ExitCode
 from briarspur.fetch import Endpoint, Fetcher, HttpFetcher
 from briarspur.objects import HttpObjectStore, VmList
 from briarspur.porcelain import Directory, Signature
@@ -22,7 +24,7 @@
 from briarspur.repository import PolicyRepository
 from briarspur.settings import CliSettings
 
-__all__ = ["Context", "VmDirectory", "open_context", "read_file", "show", "sign"]
+__all__ = ["Context", "VmDirectory", "open_context", "read_file", "reader_gone", "show", "sign"]
 
 INTERVAL_S = 1.0
 
@@ -115,6 +117,13 @@
     print(to_json(result) if context.json else text(result), flush=True)
 
 
+def reader_gone() -> ExitCode:
+    """End quietly when what reads our output, such as ``head``, has ended before us."""
+    # Python flushes standard output at exit and would complain about the broken pipe again.
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    return ExitCode.FAILED
+
+
 def _needed(value: T | None) -> T:
     if value is None:
         fault = Fault("(file)", "give --settings FILE or set BRIARSPUR_SETTINGS")
