Collectors that stand by read every minute: a change of hands leaves no gap

Tried over ten entries with two collectors: the holder was killed, the other held the lease within the minute, and the minutes around the change were missing, because the new holder had no earlier readings. Forgetting old readings is no longer needed either: no difference spans more than a minute.

--- a/briarspur/burncollect.py
+++ b/briarspur/burncollect.py
@@ -27,6 +27,9 @@
 """Seconds after a minute's end at which entries are read."""
 
 ASKED_AT_ONCE = 20
+TAKEOVER_MINUTES = 2
+"""Minutes that a standby holds: what the lease needs to change hands, and one more."""
+
 MAX_PENDING = 360
 """Minutes a service that wait for the store; older ones are dropped and so stay missing."""
 
@@ -87,8 +90,8 @@
 
     Parameters
     ----------
-    may_collect : callable
-        Whether this process is the one that collects.
+    may_write : callable
+        Whether this process is the one that writes; the others stand by.
     wall : callable
         Unix time in seconds.
     """
@@ -98,13 +101,13 @@
         repository: PolicyRepository,
         reader: BurnReader,
         history: LevelHistory,
-        may_collect: Callable[[], bool],
+        may_write: Callable[[], bool],
         wall: Callable[[], float] = time.time,
     ) -> None:
         self._repository = repository
         self._reader = reader
         self._history = history
-        self._may_collect = may_collect
+        self._may_write = may_write
         self._wall = wall
         self._collector = Collector()
         self._policy: Policy | None = None
@@ -120,11 +123,12 @@
                 logs.event("levels-not-collected", logging.WARNING, error=str(error))
 
     async def collect(self) -> None:
-        """Read the entries, and write the minute that has ended and those that wait."""
-        if not self._may_collect():
-            # Another process counts this time; a difference from before would count it again.
-            self._collector = Collector()
-            return
+        """Read the entries, and write the minute that has ended and those that wait.
+
+        Who may not write reads all the same and holds the last minutes: when it takes over, its
+        first difference is over one minute, so it counts nothing that another has counted, and
+        the minutes that died with the other are written.
+        """
         await self._read_policy()
         if self._policy is None:
             return
@@ -136,6 +140,9 @@
         for service, minute in counted.items():
             pending = self._pending_by_service.setdefault(service, [])
             pending.append(minute)
+            if not self._may_write():
+                del pending[:-TAKEOVER_MINUTES]
+                continue
             del pending[:-MAX_PENDING]
             await self._write(service, pending)
             if now % HOUR_S < SLOT_S + SETTLE_S:
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -104,22 +104,24 @@
         times = next(s.burn for s in report.services if s.burn.service == "times")
         self.assertEqual((times.windows[0].good, times.windows[0].bad), (1, 7))
 
-    async def test_a_collector_that_was_relieved_counts_nothing_twice(self) -> None:
-        # One collector loses its lease, another counts for some minutes, the first takes over
-        # again. A difference from its own last reading would count those minutes again.
+    async def test_a_change_of_collectors_loses_no_minute_and_counts_none_twice(self) -> None:
+        # One collector loses its lease, another counts for a while and is killed, the first takes
+        # over again. A difference from long ago would count the other's minutes again; beginning
+        # afresh would lose the minutes around each change.
+        other = Burn(self.repository, self.reader, self.history, lambda: True, lambda: self.now)
         await self.minute(good=1, bad=0)
+        await other.collect()
         self.collects = False
-        other = Burn(self.repository, self.reader, self.history, lambda: True, lambda: self.now)
         await self.minute(good=5, bad=0)
         await other.collect()
         await self.minute(good=5, bad=2)
         await other.collect()
+        await self.minute(good=4, bad=1)
         self.collects = True
-        await self.minute(good=5, bad=0)
         await self.minute(good=1, bad=0)
         report = await self.report()
         times = next(s.burn for s in report.services if s.burn.service == "times")
-        self.assertEqual((times.windows[0].good, times.windows[0].bad), (6, 2))
+        self.assertEqual((times.windows[0].good, times.windows[0].bad), (15, 3))
 
     async def test_without_a_collector_the_entries_sums_are_shown(self) -> None:
         self.levels.record("times", "north", Code.ANSWERED, 0.02)
