--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -17,16 +17,20 @@
 from briarspur.coord.membership import Membership
 from briarspur.core import Core
 from briarspur.errors import PeerError
+from briarspur.follow import Follow
 from briarspur.gossip import BorrowAsked, Gossip, ObjectCopy, PeerProbe, PeerReply
-from briarspur.inforce import InForce
 from briarspur.loadreport import LOAD_NAME
 from briarspur.members import MemberView, ViewedMember
 from briarspur.messages import EntryAddress
 from briarspur.objects import Vm
 from briarspur.peers import PeerClient
+from briarspur.peerwire import updates_from_wire, updates_to_wire
 
 __all__ = ["Peering", "PeeringTimes", "VmReader"]
 
+MEMBERS_NAME = "members"
+"""Name under which entries hand all their facts about members to one that has just begun."""
+
 MOST_TASKS = 64
 """Calls to other entries at once; more are left out, and the next period makes new ones."""
 
@@ -69,7 +73,7 @@
         self,
         membership: Membership,
         core: Core,
-        in_force: InForce,
+        follow: Follow,
         client: PeerClient,
         vms: VmReader,
         on_view: Callable[[MemberView], None],
@@ -80,7 +84,7 @@
     ) -> None:
         self._membership = membership
         self._core = core
-        self._in_force = in_force
+        self._follow = follow
         self._client = client
         self._vms = vms
         self._on_view = on_view
@@ -92,7 +96,8 @@
         self._shown_version = -1
         self._view_is_held = False
         self._stopped = False
-        self._fetching: set[str] = set()
+        self._has_members = False
+        self._fetching_members = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -130,13 +135,16 @@
 
     async def fetched(self, name: str, newer_than: int) -> ObjectCopy | None:
         """Return the object if the version in force here is above ``newer_than``."""
+        if name == MEMBERS_NAME:
+            value = updates_to_wire(self._membership.updates())
+            return ObjectCopy(MEMBERS_NAME, newer_than + 1, b"", value)
         if name == LOAD_NAME:
             return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
-        return self._in_force.copy(name, newer_than)
+        return self._follow.copy(name, newer_than)
 
     async def offered(self, copy: ObjectCopy) -> int:
         """Take an object, if it is newer; return the version in force here afterwards."""
-        return self._in_force.offered(copy)
+        return self._follow.offered(copy)
 
     def asked_to_lend(self, asked: BorrowAsked) -> int:
         """Grant a part of a limit; return how much."""
@@ -168,6 +176,11 @@
                 logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
             await asyncio.sleep(self._times.list_interval * (0.5 + self._rng.random()))
 
+    def address_of(self, entry_id: str) -> Address | None:
+        """Return the address of a member, None if it is not known."""
+        member = self._membership.member(entry_id)
+        return member.address if member is not None else None
+
     def leave(self) -> None:
         """Say that this entry takes no new work, to its whole region at once.
 
@@ -225,18 +238,17 @@
 
     def _gossip(self, updates: tuple[Any, ...]) -> Gossip:
         news = self._core.exchange.news(self._clock())
-        return Gossip(updates, self._in_force.versions(), news)
+        return Gossip(updates, self._follow.versions(), news)
 
     def _heard(self, sender: str, gossip: Gossip) -> None:
         self._core.exchange.heard(gossip.news, self._clock())
         self.show_view()
+        self._follow.heard(sender, gossip.objects)
         member = self._membership.member(sender)
-        if member is None:
+        if member is None or self._has_members or self._fetching_members:
             return
-        for name in self._in_force.newer_abroad(gossip.objects):
-            if name not in self._fetching:
-                self._fetching.add(name)
-                self._start(self._fetch(member.address, name))
+        self._fetching_members = True
+        self._start(self._fetch_members(member.address))
 
     def _send(self, probes: list[ProbeOut]) -> None:
         for probe in probes:
@@ -255,15 +267,21 @@
         self._heard(reply.sender, reply.gossip)
         self._send(more)
 
-    async def _fetch(self, address: Address, name: str) -> None:
+    async def _fetch_members(self, address: Address) -> None:
+        """Learn of all members at once, where facts on probes would take minutes to bring them.
+
+        Acting on a part of the members, this entry would take over targets that others own.
+        """
         try:
-            copy = await self._client.fetch(address, name, self._in_force.version(name))
+            copy = await self._client.fetch(address, MEMBERS_NAME, 0)
             if copy is not None:
-                self._in_force.offered(copy)
-        except PeerError as error:
-            logs.event("peer-unavailable", logging.DEBUG, object=name, error=str(error))
+                self._membership.learn_all(updates_from_wire(copy.value), self._clock())
+                self._has_members = True
+                self.show_view()
+        except (PeerError, ValueError) as error:
+            logs.event("peer-unavailable", logging.DEBUG, object=MEMBERS_NAME, error=str(error))
         finally:
-            self._fetching.discard(name)
+            self._fetching_members = False
 
     def _borrow(self, now: float) -> None:
         view = self._core.view
