--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -10,8 +10,8 @@
 from briarspur.core import Core
 from briarspur.errors import PeerError
 from briarspur.exchange import News
+from briarspur.follow import Follow
 from briarspur.gossip import Gossip, ObjectCopy, PeerProbe
-from briarspur.inforce import InForce
 from briarspur.peering import MEMBERS_NAME, Peering, PeeringTimes
 from briarspur.peers import PeerClient
 
@@ -37,14 +37,14 @@
         pass
 
 
-class NothingInForce:
+class NothingFollowed:
     """No objects."""
 
     def versions(self) -> tuple[()]:
         return ()
 
-    def newer_abroad(self, objects: object) -> list[str]:
-        return []
+    def heard(self, sender: str, versions: object) -> None:
+        pass
 
 
 class Wire:
@@ -68,7 +68,7 @@
         made = Peering(
             membership=membership,
             core=cast(Core, QuietCore()),
-            in_force=cast(InForce, NothingInForce()),
+            follow=cast(Follow, NothingFollowed()),
             client=cast(PeerClient, wire),
             vms=cast(Any, None),
             on_view=lambda view: None,
