--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -15,6 +15,7 @@
 from briarspur.coord.joining import Joining
 from briarspur.coord.members import Address, MemberState, Probe, ProbeOut, Reply
 from briarspur.coord.membership import Membership
+from briarspur.coord.store import ABSENT
 from briarspur.core import Core
 from briarspur.errors import PeerError
 from briarspur.follow import Follow
@@ -24,9 +25,13 @@
 from briarspur.messages import EntryAddress
 from briarspur.objects import Vm
 from briarspur.peers import PeerClient
+from briarspur.peerwire import updates_from_wire, updates_to_wire
 
 __all__ = ["Peering", "PeeringTimes", "VmReader"]
 
+MEMBERS_NAME = "members"
+"""Name under which entries hand all they know of the members to a new one; never in the store."""
+MEMBERS_ASKED = 3
 MOST_TASKS = 64
 """Calls to other entries at once; more are left out, and the next period makes new ones."""
 
@@ -92,6 +97,9 @@
         self._shown_version = -1
         self._view_is_held = False
         self._stopped = False
+        self._joined = False
+        self._knows_all = False
+        self._shown_at = -float("inf")
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -131,6 +139,9 @@
         """Return the object if the version in force here is above ``newer_than``."""
         if name == LOAD_NAME:
             return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
+        if name == MEMBERS_NAME:
+            value = updates_to_wire(self._membership.updates())
+            return ObjectCopy(MEMBERS_NAME, newer_than + 1, b"", value)
         return self._follow.copy(name, newer_than)
 
     async def offered(self, copy: ObjectCopy) -> int:
@@ -162,6 +173,8 @@
                 listed = await self._vms.read()
                 addresses = [Address(vm.host, vm.peer_port) for vm in listed]
                 self._membership.candidates(addresses, self._clock())
+                if not self._knows_all:
+                    await self._learn_all(addresses)
                 self.show_view()
             except StoreError as error:
                 logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
@@ -172,6 +185,23 @@
         member = self._membership.member(entry_id)
         return member.address if member is not None else None
 
+    async def _learn_all(self, addresses: list[Address]) -> None:
+        """Ask other entries, one after the other, for all they know of the members.
+
+        Probes carry a few facts each. Of many entries a new one would learn so slowly that it took
+        itself for the owner of targets that others have, long after it began to serve.
+        """
+        others = [address for address in addresses if address != self._membership.me.address]
+        for address in self._rng.sample(others, min(MEMBERS_ASKED, len(others))):
+            try:
+                copy = await self._client.fetch(address, MEMBERS_NAME, ABSENT)
+                if copy is not None:
+                    self._membership.learn(updates_from_wire(copy.value), self._clock())
+                    self._knows_all = True
+                    return
+            except (PeerError, ValueError) as error:
+                logs.event("peer-unavailable", object=MEMBERS_NAME, error=str(error))
+
     def leave(self) -> None:
         """Say that this entry takes no new work, to its whole region at once.
 
@@ -201,15 +231,32 @@
 
     def show_view(self) -> None:
         """Hand on the view of the live entries if it changed, once there is one to trust."""
-        membership = self._membership
-        unheard, has_contact = membership.unheard(), membership.has_contact()
-        if not self._joining.joined(has_contact, unheard, self._clock()) or self._view_is_held:
+        if not self._has_joined():
             return
-        if self._membership.view_version == self._shown_version:
+        if self._view_is_held or self._membership.view_version == self._shown_version:
             return
         self._shown_version = self._membership.view_version
+        self._shown_at = self._clock()
         self._on_view(self.view())
 
+    def _has_joined(self) -> bool:
+        if not self._joined:
+            membership = self._membership
+            unheard, has_contact = membership.unheard(), membership.has_contact()
+            self._joined = self._joining.joined(has_contact, unheard, self._clock())
+        return self._joined
+
+    def _show_view_in_time(self, sender: str) -> None:
+        """Hand a changed view on, but once a period at most.
+
+        A new view costs time that grows with the fleet. When an availability zone is lost, its
+        entries go one by one; each would make every entry work out owners and look-ups anew. Only
+        the word of an entry that leaves is taken at once: it lets go of its targets on our reply.
+        """
+        is_leaving = self._membership.state(sender) is MemberState.LEAVING
+        if is_leaving or self._clock() - self._shown_at >= self._times.period:
+            self.show_view()
+
     def view(self) -> MemberView:
         """Return the live entries, this one and leaving ones included."""
         by_id = {}
@@ -233,7 +280,7 @@
 
     def _heard(self, sender: str, gossip: Gossip) -> None:
         self._core.exchange.heard(gossip.news, self._clock())
-        self.show_view()
+        self._show_view_in_time(sender)
         self._follow.heard(sender, gossip.objects)
 
     def _send(self, probes: list[ProbeOut]) -> None:
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -58,8 +58,14 @@
 
 
 @contextmanager
-def process(*command: str) -> Iterator[subprocess.Popen[str]]:
-    """Run a process of this benchmark, and end it by its own id."""
+def process(*command: str, at_once: bool = False) -> Iterator[subprocess.Popen[str]]:
+    """Run a process of this benchmark, and end it by its own id.
+
+    Parameters
+    ----------
+    at_once : bool
+        Do not wait for a graceful stop.
+    """
     started = subprocess.Popen(
         [sys.executable, "-m", *command],
         cwd=ROOT,
@@ -71,6 +77,8 @@
     try:
         yield started
     finally:
+        if at_once:
+            started.kill()
         started.terminate()
         try:
             started.wait(20)
