--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -24,6 +24,7 @@
 from briarspur.policy import compile_policy, parse_policy  # noqa: E402
 from tools import capacityfleet as fleet  # noqa: E402
 from tools.bench import (  # noqa: E402  # noqa: E402
+    Ports,
     free_ports,
     plain_loop,
     process,
