--- a/Makefile
+++ b/Makefile
@@ -11,10 +11,10 @@
 	touch $@
 
 demo: $(VENV)/.installed
-	$(PYTHON) -m standins.demo
+	$(PYTHON) -m standins.demo $(ARGS)
 
 up: $(VENV)/.installed
-	$(PYTHON) -m standins.demo --keep
+	$(PYTHON) -m standins.demo --keep $(ARGS)
 
 test: $(VENV)/.installed
 	$(PYTHON) tools/check.py
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -24,6 +24,9 @@
 MEDIAN_MS = 100.0
 """Service time of small requests: slow enough that one machine can fill every slot."""
 
+CALLER_BLOCKS = 120
+"""Of each region. A block has one first entry, so a few blocks load entries unevenly by chance."""
+
 DOWNLOAD_BYTES = 500_000
 DOWNLOAD_LOAD = 0.2
 WARM_UP_S = 4.0
@@ -201,7 +204,8 @@
         service: time.model_copy(update={"median_ms": MEDIAN_MS})
         for service, time in deployment.standins.times_by_service.items()
     }
-    standins = deployment.standins.model_copy(update={"times_by_service": times})
+    changes = {"times_by_service": times, "caller_blocks": CALLER_BLOCKS}
+    standins = deployment.standins.model_copy(update=changes)
     return Deployment(deployment.folder, deployment.documents_by_name, standins)
 
 
