--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,6 +13,7 @@
     ClaimResult,
     Dispatch,
     Failure,
+    FetchOutcome,
     Forward,
     Refuse,
     Reply,
@@ -87,6 +88,35 @@
         replay = self.bench.arrive("POST", "/booking/new", key=self.key)[0]
         self.assertIsInstance(replay, Reply)
 
+    def test_foreign_key_claimed_by_another_entry_goes_there(self) -> None:
+        """A caller would be told that nobody knows its order, although the other entry does."""
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        self.assertEqual(self.bench.arrive("POST", "/booking/new", key="a-foreign-key"), [])
+        other = make_view(1).by_id["entry-2"]
+        actions = self.core.claim_settled(
+            claim.request_id, SettledClaim(ClaimResult.TAKEN, other.incarnation), 0.1
+        )
+        self.assertEqual([a.request_id for a in actions], [claim.request_id, "r2"])
+        for action in actions:
+            self.assertIsInstance(action, Forward)
+            self.assertEqual(action.entry, other.address)
+            self.assertFalse(action.dispatch_only)
+
+    def test_foreign_key_claimed_by_a_gone_entry_is_looked_up(self) -> None:
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        [fetch] = self.core.claim_settled(
+            claim.request_id, SettledClaim(ClaimResult.TAKEN, "f" * 16), 0.1
+        )
+        self.assertEqual(fetch, FetchOutcome(claim.request_id, "f" * 16, "a-foreign-key"))
+        [refused] = self.core.outcome_fetched(claim.request_id, False, None, 0.2)
+        self.assertEqual(refused.refusal.code, Code.HOME_GONE)
+
+    def test_foreign_key_of_an_older_claim_of_our_own_is_not_run(self) -> None:
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        mine = SettledClaim(ClaimResult.TAKEN, self.core.keys.incarnation)
+        [refused] = self.core.claim_settled(claim.request_id, mine, 0.1)
+        self.assertEqual(refused.refusal.code, Code.HOME_GONE)
+
     def test_connection_lost_after_dispatch_is_never_tried_again(self) -> None:
         """A passenger would be booked twice.
 
@@ -141,18 +171,6 @@
         self.assertTrue(sent.relay_refusals)
         self.assertFalse(sent.dispatch_only)
 
-    def test_foreign_key_claimed_by_another_entry_is_sent_there(self) -> None:
-        """A passenger is told 'outcome unknown' although the booking stands, and books again.
-
-        Two copies with a key of the caller's own reach two entries; the first claims and runs it.
-        """
-        claim = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
-        taken = SettledClaim(ClaimResult.TAKEN, holder=body(2))
-        sent = self.core.claim_settled(claim.request_id, taken, 0.1)[0]
-        self.assertIsInstance(sent, Forward)
-        self.assertEqual(sent.entry.entry_id, "entry-2")
-        self.assertTrue(sent.relay_refusals)
-
     def test_claim_whose_caller_left_can_still_be_used(self) -> None:
         """A booking can never be made with its key.
 
