--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -29,7 +29,6 @@
     Begin,
     Cancel,
     Claim,
-    ClaimedBy,
     ClaimResult,
     Dispatch,
     Failure,
@@ -39,6 +38,7 @@
     Refuse,
     Reply,
     Request,
+    SettledClaim,
 )
 from briarspur.outgoing import dispatch_request, forward_request
 
@@ -81,9 +81,7 @@
     def caller_gone(self, request_id: str, now: float) -> list[Action]:
         """Decide on a request nobody waits for any more."""
 
-    def claim_settled(
-        self, request_id: str, result: ClaimResult | ClaimedBy, now: float
-    ) -> list[Action]:
+    def claim_settled(self, request_id: str, claim: SettledClaim, now: float) -> list[Action]:
         """Go on after a claim."""
 
     def outcome_fetched(
@@ -231,8 +229,23 @@
     def tick(self) -> None:
         """Let the core do what is due."""
         self._wake = None
+        self._end_overdue()
         self.carry_out(self._core.tick(self._clock.seconds(), self._settings.wall()))
 
+    def _end_overdue(self) -> None:
+        """End attempts whose deadline has passed, in whichever phase they are.
+
+        A silent backend server would hold its slot, and a caller that stopped reading its answer
+        would hold that slot for it; nobody would tell the caller. The bound on a region's work
+        rests on this too: what was taken from a borrowed part must end by then.
+        """
+        now = self._clock.seconds()
+        overdue = [a for a in self._attempts_by_id.values() if a.action.deadline <= now]
+        for attempt in overdue:
+            if attempt.attempt_id in self._attempts_by_id:
+                attempt.cancel()
+                self.attempt_failed(attempt, Failure.DEADLINE, None, False)
+
     def carry_out(self, actions: list[Action]) -> None:
         """Carry out actions in order; those of events met on the way come after them."""
         self._actions.extend(actions)
@@ -327,13 +340,13 @@
 
     async def _claim(self, action: Claim) -> None:
         try:
-            result: ClaimResult | ClaimedBy = await self._keys.claim(action.key, action.body_digest)
+            settled = await self._keys.claim(action.key, action.body_digest)
         except Exception as error:
             # Whatever went wrong, the claim may stand; only "unsettled" is surely not wrong.
             logs.event("internal-error", logging.ERROR, during="claim", error=repr(error))
-            result = ClaimResult.UNSETTLED
+            settled = SettledClaim(ClaimResult.UNSETTLED)
         now = self._clock.seconds()
-        self.carry_out(self._core.claim_settled(action.request_id, result, now))
+        self.carry_out(self._core.claim_settled(action.request_id, settled, now))
 
     async def _fetch_outcome(self, action: FetchOutcome) -> None:
         try:
--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -18,7 +18,6 @@
     "Cancel",
     "Claim",
     "ClaimResult",
-    "ClaimedBy",
     "Dispatch",
     "EntryAddress",
     "Failure",
@@ -31,6 +30,7 @@
     "Refuse",
     "Reply",
     "Request",
+    "SettledClaim",
     "TargetAddress",
 ]
 
@@ -82,10 +82,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimedBy:
-    """The key was claimed by this entry process, which knows what became of it."""
+class SettledClaim:
+    """What became of a claim, and which incarnation holds it if it is taken."""
 
-    incarnation: str
+    result: ClaimResult
+    holder: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
