Go on following after a version that meets a fault; count old versions ignored

The task that follows an object ended with an error of the reader, and the entry stayed on its old policy for good. The counter old_versions_ignored was in the table of metrics and counted nowhere.

--- a/briarspur/coord/follower.py
+++ b/briarspur/coord/follower.py
@@ -103,7 +103,7 @@
             return Taken.REJECTED
         result = self._read(stored)
         if result.is_error():
-            return self._reject(stored.version, result.error)
+            return self.reject(stored.version, result.error)
         rises = stored.version > self.version
         invariants.check("follower.version_only_rises", rises, (self.name, stored.version))
         self.stored = stored
@@ -113,7 +113,8 @@
             self._on_change(result.ok)
         return Taken.IN_FORCE
 
-    def _reject(self, version: int, fault: str) -> Taken:
+    def reject(self, version: int, fault: str) -> Taken:
+        """Keep a version out, so that it is neither taken nor wanted again."""
         # Remembered, or it would be fetched again with each heartbeat of whoever has it.
         self._faults_by_version[version] = fault
         while len(self._faults_by_version) > REJECTED_KEPT:
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -257,7 +257,15 @@
         followers = [Follower(name, _reader(take)) for name, take in takers_by_name.items()]
         peers = MemberPeers(self._peers, self._address_of)
         settings = self.settings
-        return Follow(settings.entry_id, settings.zone, self.store, peers, followers, self._rng)
+        return Follow(
+            settings.entry_id,
+            settings.zone,
+            self.store,
+            peers,
+            followers,
+            self._rng,
+            metrics=self._metrics,
+        )
 
     def _address_of(self, entry_id: str) -> Address | None:
         return self._peering.address_of(entry_id) if self._peering is not None else None
--- a/briarspur/follow.py
+++ b/briarspur/follow.py
@@ -8,11 +8,12 @@
 from typing import Any, Protocol
 
 from briarspur import logs
-from briarspur.coord.errors import StoreError, StoreThrottledError
+from briarspur.coord.errors import InvariantError, StoreError, StoreThrottledError
 from briarspur.coord.follower import Follower, Taken
 from briarspur.coord.store import ObjectStore, StoredObject
 from briarspur.errors import PeerError
 from briarspur.gossip import ObjectCopy, ObjectVersion
+from briarspur.metrics import Metrics, NullMetrics
 from briarspur.spread import CallKind, Readiness, Spread, SpreadTimes, Turn
 
 __all__ = ["Follow", "ObjectPeers"]
@@ -48,6 +49,8 @@
         Of its own in each process, or all would call at one moment.
     sleep : callable
         Waits for seconds; replaced in tests.
+    metrics : Metrics or None
+        Counts old versions that were ignored.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         rng: random.Random,
         times: SpreadTimes | None = None,
         sleep: Callable[[float], Coroutine[Any, Any, None]] = asyncio.sleep,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or NullMetrics()
         self._times = times or SpreadTimes()
         self._spread = Spread(me, zone, len(followers), rng, self._times)
         self._store = store
@@ -202,7 +207,17 @@
             await self._sleep(error.retry_after)
 
     def _take(self, follower: Follower[Any], stored: StoredObject) -> Taken:
-        taken = follower.take(stored)
+        try:
+            taken = follower.take(stored)
+        except InvariantError:
+            raise
+        except Exception as error:
+            # A version that this program fails on must not end the following of later ones.
+            fault = repr(error)
+            logs.event("internal-error", logging.ERROR, object=stored.name, error=fault)
+            return follower.reject(stored.version, fault)
+        if taken is Taken.OLD:
+            self._metrics.count("old_versions_ignored", stored.name)
         if taken is not Taken.IN_FORCE:
             return taken
         wanted = self._wanted_by_name[follower.name]
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -195,6 +195,34 @@
         self.assertEqual(fetched, [0])
 
 
+class FailingReaderTest(unittest.TestCase):
+    """A fault of the program costs one version, not the following."""
+
+    def test_later_version_is_taken(self) -> None:
+        """An entry stays on an old policy for ever, though each later one would be good.
+
+        One version meets a fault in the program; the task that follows the policy ends with it.
+        """
+
+        def read_or_fail(stored: StoredObject) -> Result[bytes, str]:
+            if stored.version == 2:
+                raise ZeroDivisionError
+            return Ok(stored.value)
+
+        async def run() -> None:
+            fleet = Fleet(1)
+            follower = Follower("policy", read_or_fail)
+            follow = Follow("e0", ZONES[0], fleet.store, fleet, [follower], random.Random(1))
+            async with follow:
+                for version in range(3):
+                    await fleet.store.put("policy", b"x", version)
+                    await asyncio.sleep(5.0)
+                self.assertEqual(follower.version, 3)
+
+        with self.assertLogs("briarspur", logging.ERROR):
+            run_virtual(run())
+
+
 class FollowTest(unittest.TestCase):
     """Thirty entries in three zones."""
 
--- a/tools/spreadtimes.py
+++ b/tools/spreadtimes.py
@@ -50,14 +50,14 @@
 
 
 def main() -> int:
-    """Measure the sizes given as arguments ``entries:zones``, 30 in 3 zones if none is."""
+    """Measure the sizes given as ``entries:zones`` or ``entries:zones:fault``, else 30 in 3."""
     logging.getLogger("briarspur").setLevel(logging.ERROR)
     print("entries  zones  fault             longest of 5, s  store calls/s")
     for argument in sys.argv[1:] or ["30:3"]:
-        count, zones = (int(part) for part in argument.split(":"))
-        for fault in FAULTS:
-            longest, calls = run_virtual(measure(count, zones, fault))
-            print(f"{count:7}  {zones:5}  {fault:16}  {longest:15.1f}  {calls:.2f}", flush=True)
+        count, zones, *faults = argument.split(":")
+        for fault in faults or FAULTS:
+            longest, calls = run_virtual(measure(int(count), int(zones), fault))
+            print(f"{count:>7}  {zones:>5}  {fault:16}  {longest:15.1f}  {calls:.2f}", flush=True)
     return 0
 
 
