--- a/standins/callersettings.py
+++ b/standins/callersettings.py
@@ -29,6 +29,7 @@
     foreign_share: float = Field(default=0.0, ge=0.0, le=1.0, description="keys of its own making")
     download_bytes: int = Field(default=0, ge=0)
     patience_s: float = Field(default=10.0, gt=0.0, description="for the final answer")
+    attempt_s: float = Field(default=30.0, gt=0.0, description="for one entry's answer")
     repeats: int = Field(default=4, ge=0)
     after_s: float = Field(default=0.0, ge=0.0, description="begins that long after the start")
     most: int = Field(default=1_000_000, ge=1, description="requests in all")
@@ -39,7 +40,7 @@
 
     name: str
     region: str
-    host: str = Field(default="127.0.0.1", description="address it sends from")
+    hosts: list[str] = Field(min_length=1, description="addresses it sends from, in turn")
     seed: int = 1
     seconds: float = Field(gt=0.0)
     entries: list[Address] = Field(min_length=1, description="asked for look-ups, in turn")
