Follow a policy that changes the longest deadline

An account kept the longest use of the first policy, so after an operator raised a deadline every request of that rule was refused as region full. Shorter work is asked for at once, longer work is allowed once every entry knows of it, and the hold-off never gets shorter.

--- a/briarspur/coord/escrow.py
+++ b/briarspur/coord/escrow.py
@@ -63,10 +63,9 @@
         """Seconds on the giver's clock after which the longest loan has ended everywhere."""
         return self.longest_loan * (1.0 + self.drift) + self.margin
 
-    @property
-    def hold_off(self) -> float:
-        """Seconds to wait before using a part that another member may still use."""
-        return (self.spread + max(self.longest_use, self.loan_ends_after)) * (1.0 + self.drift)
+    def hold_off_for(self, longest_use: float) -> float:
+        """Return the seconds to wait before using a part that another member may still use."""
+        return (self.spread + max(longest_use, self.loan_ends_after)) * (1.0 + self.drift)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +107,10 @@
         self._next_base: Loan | None = None
         self._lent_by_id: dict[str, Loan] = {}
         self._borrowed_by_id: dict[str, Loan] = {}
+        self._longest_use = self._settings.longest_use
+        self._longer_use_from = now
+        self._shorter_use = self._settings.longest_use
+        self._hold_off_use = self._settings.longest_use
         self._uses: list[float] = []
         if fresh:
             self._base = base - self._lendable(base)
@@ -137,7 +140,7 @@
             None stands for the longest use of the settings, which borrowed parts rarely cover.
         """
         end = self._until(now, until)
-        if end > now + self._settings.longest_use or self.free(now, end) < 1:
+        if end > now + self._allowed_use(now) or self.free(now, end) < 1:
             return False
         insort(self._uses, end)
         invariants.check(
@@ -206,10 +209,30 @@
             self._next_base = None
             return
         if self._next_base is None or self._next_base.amount != base:
-            self._next_base = Loan(base, now + self._settings.hold_off)
+            self._next_base = Loan(base, now + self._hold_off())
+
+    def set_longest_use(self, longest_use: float, now: float) -> None:
+        """Take a new bound on the length of work: a shorter one at once, a longer one later.
+
+        Until every member knows the longer bound, one of them may hold off for too short a time
+        before it uses a part on which such work still runs. The hold-off here never gets shorter
+        again: others may have begun long work under a former bound.
+        """
+        if longest_use == self._longest_use:
+            return
+        self._shorter_use = min(self._allowed_use(now), longest_use)
+        self._longer_use_from = now + self._settings.spread * (1.0 + self._settings.drift)
+        self._longest_use = longest_use
+        self._hold_off_use = max(self._hold_off_use, longest_use)
+
+    def _allowed_use(self, now: float) -> float:
+        return self._longest_use if now >= self._longer_use_from else self._shorter_use
+
+    def _hold_off(self) -> float:
+        return self._settings.hold_off_for(self._hold_off_use)
 
     def _until(self, now: float, until: float | None) -> float:
-        return now + self._settings.longest_use if until is None else until
+        return now + self._allowed_use(now) if until is None else until
 
     def _lendable(self, base: int) -> int:
         return math.floor(base * self._settings.lendable_share)
--- a/briarspur/placement.py
+++ b/briarspur/placement.py
@@ -115,6 +115,7 @@
         have lent; later ones by the rules of the account.
         """
         if self._limited:
+            self.account.set_longest_use(settings.longest_use, now)
             self.account.set_base(share, now)
             return
         self.account = Account(self.account.resource, share, now, settings, fresh=True)
--- a/tests/coord/test_escrow.py
+++ b/tests/coord/test_escrow.py
@@ -88,6 +88,23 @@
         self.giver.set_base(2, now=9.0)
         self.assertEqual(self.giver.held(9.0), 2)
 
+    def test_longer_work_is_allowed_once_all_know_of_it(self) -> None:
+        """Every download is refused as "region full" after an operator raised its deadline.
+
+        The account still refused work longer than the longest deadline of the first policy.
+        """
+        self.giver.set_longest_use(20.0, now=0.0)
+        self.assertFalse(self.giver.take(1.0, until=12.0), "not all members know it")
+        self.assertTrue(self.giver.take(2.2, until=12.0))
+        self.giver.set_base(8, now=3.0)
+        self.assertEqual(self.giver.held(3.0 + 2.0 + 20.0), 6)
+        self.assertEqual(self.giver.held(27.0), 8)
+
+    def test_shorter_work_only_is_allowed_at_once(self) -> None:
+        self.giver.set_longest_use(3.0, now=0.0)
+        self.assertFalse(self.giver.take(0.0, until=5.0))
+        self.assertTrue(self.giver.take(0.0, until=3.0))
+
     def test_a_fresh_process_holds_back_what_the_last_one_may_have_lent(self) -> None:
         """A region runs more requests than its limit just after an entry was replaced.
 
