--- a/briarspur/forms.py
+++ b/briarspur/forms.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from briarspur.errors import DocumentError, Fault
+from briarspur.fieldtext import FieldKind, read_text, to_text
 from briarspur.messages import Kind, MovedBy
 from briarspur.policy import TargetState
 
@@ -36,17 +37,6 @@
 FAULT_IN_MESSAGE = re.compile(r"^([a-z_]+(?:\.[^:\s]+)*): (.+)$")
 
 
-class FieldKind(Enum):
-    """How a field is typed in."""
-
-    TEXT = "text"
-    INTEGER = "integer"
-    NUMBER = "number"
-    CHOICE = "choice"
-    NAMES = "names"
-    TABLE = "table"
-
-
 @dataclass(frozen=True, slots=True)
 class Field:
     """One input.
@@ -101,6 +91,7 @@
     ("path", "path", FieldKind.TEXT, ()),
     ("objective.good_share", "objective: share whole and in time", FieldKind.NUMBER, ()),
     ("objective.latency_ms", "objective: within ms", FieldKind.INTEGER, ()),
+    ("split", "split, one 'home: region share, region share' a line", FieldKind.SPLIT, ()),
 )
 RULE_FIELDS: tuple[Spec, ...] = (
     ("methods", "methods", FieldKind.NAMES, ()),
@@ -230,7 +221,7 @@
         for fields in fields_of(draft, section).values():
             for field in fields:
                 if field.path in typed and typed[field.path] != field.text:
-                    _set(result, field.path, _read(field, typed[field.path]))
+                    _set(result, field.path, read_text(typed[field.path], field.kind))
     return result
 
 
@@ -266,7 +257,7 @@
     fields = []
     for name, label, kind, choices in specs:
         path = f"{root}.{name}" if root else name
-        fields.append(Field(path, label, kind, _text(_get(draft, path), kind), choices))
+        fields.append(Field(path, label, kind, to_text(_get(draft, path), kind), choices))
     return fields
 
 
@@ -293,41 +284,3 @@
     for part in parts:
         parent = parent[int(part)] if isinstance(parent, list) else parent.setdefault(part, {})
     parent[last] = value
-
-
-def _text(value: Any, kind: FieldKind) -> str:
-    if value is None:
-        return ""
-    if kind is FieldKind.NAMES and isinstance(value, list):
-        return ", ".join(map(str, value))
-    if kind is FieldKind.TABLE and isinstance(value, dict):
-        return "\n".join(f"{key} {item}" for key, item in value.items())
-    return str(value)
-
-
-def _read(field: Field, text: str) -> Any:
-    """Return the typed value; one that cannot be read stays text, which the check refuses."""
-    stripped = text.strip()
-    if field.kind is FieldKind.NAMES:
-        return [part for part in re.split(r"[,\s]+", stripped) if part]
-    if field.kind is FieldKind.TABLE:
-        return _read_table(text)
-    reader = {FieldKind.INTEGER: int, FieldKind.NUMBER: float}.get(field.kind)
-    if reader is None:
-        return stripped
-    try:
-        return reader(stripped)
-    except ValueError:
-        return stripped
-
-
-def _read_table(text: str) -> dict[str, str] | str:
-    result: dict[str, str] = {}
-    for line in text.splitlines():
-        parts = line.split()
-        if not parts:
-            continue
-        if len(parts) != 2 or parts[0] in result:
-            return text
-        result[parts[0]] = parts[1]
-    return result
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -46,12 +46,16 @@
             "services.times.rules.0.deadline_ms": " 900 ",
             "regions.north.link_small_share": "0.5",
             "targets.times-north-1.state": "leaving",
+            "services.times.split": "north: north 0.75, south 0.25\r\n",
             "blocks.by_prefix": "10.2.0.0/16 south\r\n10.3.0.0/16 north\r\n",
         }
         changed = apply_fields(draft(), typed)
         rule = changed["services"]["times"]["rules"][0]
         self.assertEqual((rule["methods"], rule["deadline_ms"]), (["GET", "POST"], 900))
         self.assertEqual(len(changed["blocks"]["by_prefix"]), 2)
+        split = {"north": {"north": 0.75, "south": 0.25}}
+        self.assertEqual(changed["services"]["times"]["split"], split)
+        self.assertEqual(apply_fields(changed, typed), changed)
         self.assertEqual(fault_paths(changed), [])
 
     def test_each_fault_is_at_its_field_and_what_was_typed_is_kept(self) -> None:
@@ -59,11 +63,13 @@
             "services.times.rules.0.deadline_ms": "soon",
             "regions.north.in_flight_limit": "-3",
             "blocks.by_prefix": "10.2.0.0/16",
+            "services.booking.split": "north: south half",
         }
         changed = apply_fields(draft(), typed)
         expected = [
             "regions.north.in_flight_limit",
             "services.times.rules.0.deadline_ms",
+            "services.booking.split",
             "blocks.by_prefix",
         ]
         self.assertEqual(fault_paths(changed), expected)
