Count a forwarded answer under the region it was sent to

Watching a shift over ten entries: half of one region's callers were moved, backend servers there started 93 requests in 10 s where another region's started 299, and the entries' counts still showed equal shares. A forwarded request was counted under the first entry's own region, since only a dispatch carried one. The shift itself and the collector were ruled out by the backend servers' own counts.

--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -290,7 +290,7 @@
         attempt = OpenAttempt(self, action, open_request, self._settings.most_kept)
         open_request.attempts_by_id[action.attempt_id] = attempt
         self._attempts_by_id[action.attempt_id] = attempt
-        if isinstance(action, Dispatch):
+        if action.region:
             open_request.region = action.region
         attempt.handle = self._sender.send(self._outgoing(action, open_request), attempt)
 
--- a/briarspur/inflight.py
+++ b/briarspur/inflight.py
@@ -94,6 +94,7 @@
             relay_refusals=to_home,
             keep_answer=work.key is not None,
             resume_at=work.passed,
+            region=member.region,
         )
 
     def _make(self, work: Work, now: float) -> Attempt:
--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -208,6 +208,8 @@
         True if the other entry is the key's home: whatever it answers is passed on, also a refusal,
         since it alone knows what became of the key. False: an answer with ``Briarspur-Ran: no`` is
         reported as ``Failure.SHED``.
+    region : str
+        Region of the other entry: answers are counted by where they ran.
     """
 
     request_id: str
@@ -218,6 +220,7 @@
     relay_refusals: bool = False
     keep_answer: bool = False
     resume_at: int = 0
+    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -251,6 +251,7 @@
         client: BackendClient | None = None,
     ) -> None:
         self.answers: list[Code] = []
+        self.regions: list[str] = []
         self.leaving: list[str] = []
         self.core = core
         self.limits = limits or LimitSettings()
@@ -284,6 +285,7 @@
 
     def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
         self.answers.append(code)
+        self.regions.append(region)
 
     def target_leaving(self, target_id: str) -> None:
         self.leaving.append(target_id)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -34,6 +34,7 @@
             dispatch_only=True,
             relay_refusals=self.relay_refusals,
             resume_at=resume_at,
+            region="south",
         )
 
 
@@ -59,11 +60,18 @@
                 second.target = backend.address
                 first.port = behind.forward_port
                 async with Front(first) as front, RawCaller(front.caller_port) as caller:
+                    self.front = front
                     key = b"Idempotency-Key: 12345678\r\n"
                     return await caller.get(b"/booking/", key)
 
         return self.run_on_loop(work())
 
+    def test_a_forwarded_answer_is_counted_where_it_ran(self) -> None:
+        # Half of a region's callers are moved to another. Counted under the entry's own region,
+        # the service's page goes on showing that nothing has moved.
+        self.ask(ForwardingCore(None), DirectCore(None))  # type: ignore[arg-type]
+        self.assertEqual(self.front.regions, ["south"])
+
     def test_request_is_forwarded_whole(self) -> None:
         first, second = ForwardingCore(None), DirectCore(None)  # type: ignore[arg-type]
         read = self.ask(first, second)
