Follow smaller shares of a cap at once and larger ones after the spread

With three entries of a cap of 20 and a fourth that joins, shares of 7, 7, 6 and 5 were in use at once for as long as the policy spreads: 25 of 20.

--- a/briarspur/coord/shift.py
+++ b/briarspur/coord/shift.py
@@ -100,15 +100,28 @@
     ----------
     share_by_kind : mapping of str to ShiftCap
         This member's share of each cap; see :func:`briarspur.coord.escrow.base_shares`.
+    spread : float
+        Seconds in which new shares reach every member.
     """
 
-    def __init__(self, share_by_kind: Mapping[str, ShiftCap]) -> None:
-        self._share_by_kind = dict(share_by_kind)
+    def __init__(self, share_by_kind: Mapping[str, ShiftCap], spread: float = 18.0) -> None:
+        self._share_by_kind: dict[str, ShiftCap] = {}
+        self._former_by_kind: dict[str, int] = {}
+        self._former_until = -math.inf
+        self._spread = spread
         self._ledger_by_window: dict[float, Ledger] = {}
-        self.set_shares(share_by_kind)
+        self.set_shares(share_by_kind, -math.inf)
+
+    def set_shares(self, share_by_kind: Mapping[str, ShiftCap], now: float) -> None:
+        """Take new shares, from a new policy: smaller ones at once, larger ones after the spread.
 
-    def set_shares(self, share_by_kind: Mapping[str, ShiftCap]) -> None:
-        """Take new shares, from a new policy; what was carried and drawn is kept."""
+        Until then another member may still draw on a larger share of its own, which this one's
+        growth was taken from. What was carried and drawn is kept.
+        """
+        if dict(share_by_kind) == self._share_by_kind:
+            return
+        self._former_by_kind = {kind: self._share(kind, now) for kind in self._share_by_kind}
+        self._former_until = now + self._spread
         self._share_by_kind = dict(share_by_kind)
         windows = {cap.window for cap in share_by_kind.values()}
         self._ledger_by_window = {
@@ -131,7 +144,7 @@
         if ledger.is_shift(flow):
             ledger.drawn_by_draw[service, region, kind] += 1
             drawn = ledger.drawn_by_draw[service, region, kind]
-            cap = self._share_by_kind[kind].requests
+            cap = self._share(kind, now)
             invariants.check("shift.within-cap", drawn <= cap, (flow, kind, drawn, cap))
         for each in self._ledger_by_window.values():
             each.advance(now)
@@ -166,4 +179,10 @@
     def _allowed(self, flow: Flow, kind: str, now: float) -> bool:
         ledger = self._ledger(kind, now)
         drawn = ledger.drawn_by_draw[flow.service, flow.region, kind]
-        return not ledger.is_shift(flow) or drawn < self._share_by_kind[kind].requests
+        return not ledger.is_shift(flow) or drawn < self._share(kind, now)
+
+    def _share(self, kind: str, now: float) -> int:
+        share = self._share_by_kind[kind].requests
+        if now >= self._former_until:
+            return share
+        return min(share, self._former_by_kind.get(kind, share))
--- a/briarspur/routing.py
+++ b/briarspur/routing.py
@@ -53,7 +53,7 @@
             kind.value: ShiftCap(base_shares(cap.requests, entry_ids).get(self._me, 0), cap.window)
             for kind, cap in policy.caps_by_kind.items()
         }
-        self.shifts.set_shares(caps)
+        self.shifts.set_shares(caps, now)
         for service in policy.services_by_name:
             budget = self._retries_by_service.setdefault(service, RetryBudget(policy.retry_share))
             budget.set_share(policy.retry_share)
--- a/tests/coord/test_shift.py
+++ b/tests/coord/test_shift.py
@@ -78,6 +78,17 @@
         take_many(self.budget, "south", "planned", 5.0, 9)
         self.assertEqual(take_many(self.budget, "south", "planned", 4.0, 9), 0)
 
+    def test_a_larger_share_waits_and_a_smaller_one_does_not(self) -> None:
+        """A region gets more moved traffic than its cap just after an entry joined or left.
+
+        Shares move between entries then, and for some seconds both use the moved part.
+        """
+        larger = {**CAPS, "planned": ShiftCap(5, 5.0), "emergency": ShiftCap(1, 5.0)}
+        self.budget.set_shares(larger, now=0.0)
+        self.assertEqual(take_many(self.budget, "south", "planned", 0.0, 9), 2)
+        self.assertEqual(take_many(self.budget, "west", "emergency", 0.0, 9), 1)
+        self.assertEqual(take_many(self.budget, "south", "planned", 20.0, 9), 5)
+
     def test_retry_after_is_the_next_window(self) -> None:
         self.assertAlmostEqual(self.budget.retry_after("planned", 13.0), 2.0)
 
