--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -87,6 +87,7 @@
         self.node = self.node_type(settings, self._incarnation, self._metrics, self._clock)
         self.node.on_core = self._core_made
         self._follow = self._make_follow()
+        self.node.is_current = lambda: self._follow.is_ready(POLICY_NAME)
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
@@ -259,7 +260,15 @@
         followers = [Follower(name, _reader(take)) for name, take in takers_by_name.items()]
         peers = MemberPeers(self._peers, self._address_of)
         settings = self.settings
-        return Follow(settings.entry_id, settings.zone, self.store, peers, followers, self._rng)
+        return Follow(
+            settings.entry_id,
+            settings.zone,
+            self.store,
+            peers,
+            followers,
+            self._rng,
+            metrics=self._metrics,
+        )
 
     def _address_of(self, entry_id: str) -> Address | None:
         return self._peering.address_of(entry_id) if self._peering is not None else None
