--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -42,6 +42,7 @@
 
 __all__ = ["EntryDaemon", "main"]
 
+ANY_HOST = ("0.0.0.0", "::")
 DEFAULT_CONNECTIONS = 350
 """Bound on open connections to a target the policy no longer names."""
 LEAVE_SPREAD_PROBES = 5
@@ -70,7 +71,9 @@
         self._clock = NodeClock(monotonic=self._reactor.seconds)
         self.store = HttpObjectStore(settings.platform)
         self._vms = VmList(settings.platform)
-        self._client = BackendClient(self._reactor)
+        # Backend servers then see each entry at the address that the VM list gives for it.
+        source = None if settings.host in ANY_HOST else settings.host
+        self._client = BackendClient(self._reactor, source=source)
         self._peers = PeerClient()
         self._peering: Peering | None = None
         self._peer_server: PeerServer | None = None
@@ -84,6 +87,7 @@
         self.node = self.node_type(settings, self._incarnation, self._metrics, self._clock)
         self.node.on_core = self._core_made
         self._follow = self._make_follow()
+        self.node.is_current = lambda: self._follow.is_ready(POLICY_NAME)
         self._carrier: Carrier | None = None
         self._server = EntryServer(
             self._reactor,
@@ -122,6 +126,10 @@
         """Return how many live entries this one sees, itself included."""
         return len(self.node.view.by_id)
 
+    def watches_policy(self) -> bool:
+        """Return whether this entry watches the policy in the store for its zone."""
+        return self._follow.watches(POLICY_NAME)
+
     def policy_version(self) -> int:
         """Return the version in force, 0 if there is none."""
         return self.node.policy.version if self.node.policy is not None else 0
@@ -241,7 +249,7 @@
             follow=self._follow,
             client=self._peers,
             vms=self._vms,
-            on_view=self.node.view_changed,
+            on_view=self._view_changed,
             load=self.node.load_report,
             clock=self._clock.monotonic,
             rng=self._rng,
--- a/tests/stories/small.py
+++ b/tests/stories/small.py
@@ -20,15 +20,23 @@
 CALLERS_END_S = 60.0
 LEASE_S = 2.0
 
-TIMES = Load(name="times", service="times", path="/times/", per_s=30.0)
+ATTEMPT_S = 3.0
+
+TIMES = Load(name="times", service="times", path="/times/", per_s=30.0, attempt_s=ATTEMPT_S)
 BOOKINGS = Load(
-    name="booking", service="booking", path="/booking/new", method="POST", per_s=20.0, keyed=True
+    name="booking",
+    service="booking",
+    path="/booking/new",
+    method="POST",
+    per_s=20.0,
+    keyed=True,
+    attempt_s=ATTEMPT_S,
 )
 CHARTS = Load(
     name="charts",
     service="charts",
     path="/charts/pack",
-    per_s=1.5,
+    per_s=0.8,
     download_bytes=2_000_000,
     patience_s=40.0,
 )
@@ -59,7 +67,7 @@
         region["in_flight_limit"] = 24
         region["link_bytes_per_s"] = 20_000_000
     policy["lookup_lifetime_s"] = 2.0
-    policy["blocks"] = {"default": "north", "by_prefix": {"127.0.92.0/24": "south"}}
+    policy["blocks"] = {"default": "north", "by_prefix": {"127.92.0.0/16": "south"}}
     platform = {"host": "127.0.0.1", "port": 8080}
     made: dict[str, dict[str, Any]] = {
         "policy": policy,
@@ -68,7 +76,7 @@
         "standins": {
             "delays": {},
             "times_by_service": TIMES_BY_SERVICE,
-            "caller_hosts_by_region": {"north": "127.0.91.1", "south": "127.0.92.1"},
+            "caller_networks_by_region": {"north": "127.91", "south": "127.92"},
             "loads": [],
         },
     }
@@ -109,12 +117,17 @@
     """What every story ends with."""
 
     def finish(self, system: System) -> Report:
-        """Check that nothing was doubled or lost and that every caller got a final answer."""
+        """Check that nothing was doubled or lost, no region overloaded, every caller answered."""
         report = system.finish_callers(CALLERS_END_S)
         verdict = judge(report, system.wait_idle())
         self.assertEqual(verdict.doubled, [])
         self.assertEqual(verdict.lost, [])
         self.assertEqual(verdict.run_though_refused, [])
+        self.assertEqual(system.violations(), {})
+        limits = system.deployment.policy().regions
+        for ledger in system.ledgers():
+            for region, counts in ledger["counts_by_region"].items():
+                self.assertLessEqual(counts["peak_in_flight"], limits[region].in_flight_limit)
         self.assertEqual(report.total(Outcome.NONE), 0, report.unfinished()[:3])
         self.assertEqual(report.total(Outcome.WRONG), 0, report.unfinished()[:3])
         return report
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -241,6 +241,26 @@
 
         self.run_on_loop(work())
 
+    def test_callers_own_key_is_run_once_at_any_entry(self) -> None:
+        """A builder's order gets no answer at one entry and its answer is lost at the next.
+
+        The key is of the builder's own making. The first entry claimed and ran it; the repeat
+        comes to the other one, which must neither run it nor say that nobody knows.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=2) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                request = b"POST /booking/ HTTP/1.1\r\nIdempotency-Key: builders-key"
+                request += b"\r\nContent-Length: 4\r\n\r\nboat"
+                answers = [await whole.ask(request, number) for number in (1, 2, 1)]
+                self.assertEqual([answer.body for answer in answers], [b"whole"] * 3)
+                self.assertEqual(len(whole.backend.heads), 1)
+                await asyncio.gather(*(daemon.stop() for daemon in whole.daemons))
+
+        self.run_on_loop(work())
+
     def test_fresh_entry_begins_while_the_store_is_out(self) -> None:
         """A VM is replaced in an outage of the store, and its callers wait for minutes.
 
@@ -263,6 +283,22 @@
 
         self.run_on_loop(work())
 
+    def test_only_two_entries_of_a_zone_watch_the_store(self) -> None:
+        """After an outage every entry comes back to the store at once, and it stays overloaded.
+
+        Each entry knew itself alone, because nobody told the follower of the members, and so held
+        the watch of its zone: 3,400 watches at 1,700 entries in place of 116.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=3) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                await eventually(lambda: sum(d.watches_policy() for d in whole.daemons) == 2)
+                await asyncio.gather(*(daemon.stop() for daemon in whole.daemons))
+
+        self.run_on_loop(work())
+
     def test_leaving_entry_serves_on_and_its_outcomes_are_found(self) -> None:
         """An entry is replaced while callers still have it in their look-ups.
 
