--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -6,6 +6,7 @@
 import socket
 import sys
 import time
+import tracemalloc
 import urllib.request
 from collections.abc import Callable, Sequence
 from contextlib import ExitStack
@@ -146,11 +147,10 @@
     memory, building, finding = [], [], []
     for blocks in BLOCKS:
         step = 2**32 // blocks
-        before = resident_bytes(os.getpid())
         started = time.process_time()
         table = BlockTable.from_runs((n * step, HOMES[n % 11]) for n in range(blocks))
         building.append(time.process_time() - started)
-        memory.append((resident_bytes(os.getpid()) - before) / 1e6)
+        memory.append(_held_megabytes(blocks))
         asked = [random.Random(1).randrange(2**32) for _ in range(20_000)]
         finding.append(timed(lambda t=table, a=asked: [t.home(b) for b in a]) / 20_000 * 1e3)  # type: ignore[misc]
         del table
@@ -159,6 +159,17 @@
     show("blocks: find one, µs", "µs", BLOCKS, finding, FULL_BLOCKS)
 
 
+def _held_megabytes(blocks: int) -> float:
+    """Return the memory of a table, counted by Python's allocator."""
+    step = 2**32 // blocks
+    tracemalloc.start()
+    table = BlockTable.from_runs((n * step, HOMES[n % 11]) for n in range(blocks))
+    held = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    assert len(table) == blocks
+    return held
+
+
 def measure_planner() -> None:
     """Measure what the holder of the planner's lease reads and works in one round."""
     reading, planning = [], []
