--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -15,6 +15,7 @@
 from briarspur.coord.joining import Joining
 from briarspur.coord.members import Address, MemberState, Probe, ProbeOut, Reply
 from briarspur.coord.membership import Membership
+from briarspur.coord.store import ABSENT
 from briarspur.core import Core
 from briarspur.errors import PeerError
 from briarspur.follow import Follow
@@ -29,8 +30,8 @@
 __all__ = ["Peering", "PeeringTimes", "VmReader"]
 
 MEMBERS_NAME = "members"
-"""Name under which entries hand all their facts about members to one that has just begun."""
-
+"""Name under which entries hand all they know of the members to a new one; never in the store."""
+MEMBERS_ASKED = 3
 MOST_TASKS = 64
 """Calls to other entries at once; more are left out, and the next period makes new ones."""
 
@@ -97,9 +98,9 @@
         self._view_is_held = False
         self._stopped = False
         self._joined = False
+        self._knows_all = False
+        self._is_learning = False
         self._shown_at = -float("inf")
-        self._has_members = False
-        self._fetching_members = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -137,11 +138,11 @@
 
     async def fetched(self, name: str, newer_than: int) -> ObjectCopy | None:
         """Return the object if the version in force here is above ``newer_than``."""
+        if name == LOAD_NAME:
+            return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
         if name == MEMBERS_NAME:
             value = updates_to_wire(self._membership.updates())
             return ObjectCopy(MEMBERS_NAME, newer_than + 1, b"", value)
-        if name == LOAD_NAME:
-            return ObjectCopy(LOAD_NAME, newer_than + 1, b"", self._load())
         return self._follow.copy(name, newer_than)
 
     async def offered(self, copy: ObjectCopy) -> int:
@@ -173,6 +174,8 @@
                 listed = await self._vms.read()
                 addresses = [Address(vm.host, vm.peer_port) for vm in listed]
                 self._membership.candidates(addresses, self._clock())
+                if not self._knows_all:
+                    await self._learn_all(addresses)
                 self.show_view()
             except StoreError as error:
                 logs.event("store-unavailable", logging.WARNING, object="vms", error=str(error))
@@ -183,6 +186,32 @@
         member = self._membership.member(entry_id)
         return member.address if member is not None else None
 
+    async def _learn_all(self, addresses: list[Address]) -> None:
+        """Ask other entries, one after the other, for all they know of the members.
+
+        Probes carry a few facts each. Of many entries a new one would learn so slowly that it took
+        itself for the owner of targets that others have, long after it began to serve.
+        """
+        others = [address for address in addresses if address != self._membership.me.address]
+        for address in self._rng.sample(others, min(MEMBERS_ASKED, len(others))):
+            await self._learn_from(address)
+            if self._knows_all:
+                return
+
+    async def _learn_from(self, address: Address) -> None:
+        """Ask one entry for all it knows of the members."""
+        self._is_learning = True
+        try:
+            copy = await self._client.fetch(address, MEMBERS_NAME, ABSENT)
+            if copy is not None:
+                self._membership.learn_all(updates_from_wire(copy.value), self._clock())
+                self._knows_all = True
+                self.show_view()
+        except (PeerError, ValueError) as error:
+            logs.event("peer-unavailable", object=MEMBERS_NAME, error=str(error))
+        finally:
+            self._is_learning = False
+
     def leave(self) -> None:
         """Say that this entry takes no new work, to its whole region at once.
 
@@ -264,10 +293,9 @@
         self._show_view_in_time(sender)
         self._follow.heard(sender, gossip.objects)
         member = self._membership.member(sender)
-        if member is None or self._has_members or self._fetching_members:
-            return
-        self._fetching_members = True
-        self._start(self._fetch_members(member.address))
+        # Without the VM list, whoever is heard first is asked.
+        if member is not None and not self._knows_all and not self._is_learning:
+            self._start(self._learn_from(member.address))
 
     def _send(self, probes: list[ProbeOut]) -> None:
         for probe in probes:
@@ -286,22 +314,6 @@
         self._heard(reply.sender, reply.gossip)
         self._send(more)
 
-    async def _fetch_members(self, address: Address) -> None:
-        """Learn of all members at once, where facts on probes would take minutes to bring them.
-
-        Acting on a part of the members, this entry would take over targets that others own.
-        """
-        try:
-            copy = await self._client.fetch(address, MEMBERS_NAME, 0)
-            if copy is not None:
-                self._membership.learn_all(updates_from_wire(copy.value), self._clock())
-                self._has_members = True
-                self.show_view()
-        except (PeerError, ValueError) as error:
-            logs.event("peer-unavailable", logging.DEBUG, object=MEMBERS_NAME, error=str(error))
-        finally:
-            self._fetching_members = False
-
     def _borrow(self, now: float) -> None:
         view = self._core.view
         wanted = self._core.exchange.borrow_wanted(view, self._rng, now)
