--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -283,6 +283,22 @@
 
         self.run_on_loop(work())
 
+    def test_only_two_entries_of_a_zone_watch_the_store(self) -> None:
+        """After an outage every entry comes back to the store at once, and it stays overloaded.
+
+        Each entry knew itself alone, because nobody told the follower of the members, and so held
+        the watch of its zone: 3,400 watches at 1,700 entries in place of 116.
+        """
+
+        async def work() -> None:
+            async with Whole(entries=3) as whole:
+                await whole.apply(whole.policy())
+                await whole.all_ready()
+                await eventually(lambda: sum(d.watches_policy() for d in whole.daemons) == 2)
+                await asyncio.gather(*(daemon.stop() for daemon in whole.daemons))
+
+        self.run_on_loop(work())
+
     def test_leaving_entry_serves_on_and_its_outcomes_are_found(self) -> None:
         """An entry is replaced while callers still have it in their look-ups.
 
