--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -31,6 +31,7 @@
 DOWNLOAD_LOAD = 0.2
 WARM_UP_S = 4.0
 LOSS_AFTER_S = 3.0
+LOSS_LOAD = 0.8
 CALLERS_END_S = 120.0
 DOWNLOADS = {"charts", "plans"}
 KEYED = {"bookings", "ordering"}
@@ -78,10 +79,11 @@
 class Experiment:
     """One system under one way, and the cells measured on it."""
 
-    def __init__(self, system: System, way: Alternative, seconds: float) -> None:
+    def __init__(self, system: System, way: Alternative, seconds: float, repeats: int) -> None:
         self._system = system
         self._way = way
         self._seconds = seconds
+        self._repeats = repeats
         self._capacity_by_service = capacities(system.deployment)
 
     def measure(self, load: float, lost: str = "none") -> Cell:
@@ -121,7 +123,7 @@
                     per_s=capacity * (DOWNLOAD_LOAD if download else share) / regions,
                     download_bytes=DOWNLOAD_BYTES if download else 0,
                     patience_s=30.0 if download else 10.0,
-                    repeats=0,
+                    repeats=self._repeats,
                 )
             )
         return loads
@@ -210,22 +212,20 @@
 
 
 def with_system(
-    name: str, way: Alternative, seconds: float, work: Callable[[Experiment], Iterator[Cell]]
-) -> list[Cell]:
+    arguments: argparse.Namespace, way: Alternative, work: Callable[[Experiment], Iterator[Cell]]
+) -> None:
     """Start a system for ``way``, run ``work`` on it, and show each cell as it ends."""
-    cells = []
     with tempfile.TemporaryDirectory(prefix="briarspur-experiment-") as folder:
-        deployment = slowed(Deployment.load(name, Path(folder)))
+        deployment = slowed(Deployment.load(arguments.deployment, Path(folder)))
         with Launcher(Path(folder)) as launcher:
             system = System(deployment, launcher, entry_module="standins.trialentry")
             for entry_id in system.entry_ids:
                 settings = deployment.documents_by_name[entry_id]
                 deployment.write(entry_id, {**settings, "alternative": way.value})
             system.start()
-            for cell in work(Experiment(system, way, seconds)):
+            experiment = Experiment(system, way, arguments.seconds, arguments.repeats)
+            for cell in work(experiment):
                 print(cell.row(), flush=True)
-                cells.append(cell)
-    return cells
 
 
 def main() -> None:
@@ -236,7 +236,7 @@
     parser.add_argument("--ways", nargs="*", default=[way.value for way in Alternative])
     parser.add_argument("--loads", nargs="*", type=float, default=list(LOADS))
     parser.add_argument("--losses", nargs="*", choices=LOSSES, default=[])
-    parser.add_argument("--loss-load", type=float, default=0.8)
+    parser.add_argument("--repeats", type=int, default=0, help="of a refused call by its caller")
     arguments = parser.parse_args()
     print(f"{arguments.deployment}, {arguments.seconds:.0f} s a cell, {os.cpu_count()} cores")
     print(HEADER)
@@ -244,19 +244,10 @@
     ways = [Alternative(way) for way in arguments.ways]
     random.Random(1).shuffle(ways)
     for way in ways:
-        with_system(
-            arguments.deployment,
-            way,
-            arguments.seconds,
-            lambda e: (e.measure(load) for load in arguments.loads),
-        )
+        if arguments.loads:
+            with_system(arguments, way, lambda e: (e.measure(load) for load in arguments.loads))
         for lost in arguments.losses:
-            with_system(
-                arguments.deployment,
-                way,
-                arguments.seconds,
-                lambda e, lost=lost: iter([e.measure(arguments.loss_load, lost)]),  # type: ignore[misc]
-            )
+            with_system(arguments, way, lambda e, lost=lost: iter([e.measure(LOSS_LOAD, lost)]))  # type: ignore[misc]
 
 
 if __name__ == "__main__":
