--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -5,8 +5,6 @@
 import unittest
 from typing import Any, cast
 
-from briarspur.inforce import InForce
-
 from briarspur.coord.members import Address, Member
 from briarspur.coord.membership import Membership
 from briarspur.core import Core
