--- a/briarspur/coord/sweep.py
+++ b/briarspur/coord/sweep.py
@@ -63,16 +63,17 @@
         self._turn += 1
         deleted = 0
         with contextlib.suppress(StoreError):
-            found = await self._store.list(prefix)
-            for stored in [each for each in found if self._is_old(each)][: self._deletions]:
+            for stored in self._old(await self._store.list(prefix))[: self._deletions]:
                 deleted += await self._delete(stored)
         return deleted
 
-    def _is_old(self, stored: StoredObject) -> bool:
-        try:
-            return float(json.loads(stored.value)["at"]) + self._keep <= self._wall()
-        except (ValueError, KeyError, TypeError):
-            return False
+    def _old(self, found: list[StoredObject]) -> list[StoredObject]:
+        times = [(_written_at(stored), stored) for stored in found]
+        known = [(at, stored) for at, stored in times if at is not None]
+        # A sweeper whose clock is days ahead would delete every claim, and each repeat would run
+        # again. So an object is old only if another one is younger by as much, too.
+        now = min(self._wall(), max((at for at, _ in known), default=0.0))
+        return [stored for at, stored in known if at + self._keep <= now]
 
     async def _delete(self, stored: StoredObject) -> bool:
         try:
@@ -81,3 +82,10 @@
             # The listing was old: another sweeper was quicker, or the name is in use again.
             return False
         return True
+
+
+def _written_at(stored: StoredObject) -> float | None:
+    try:
+        return float(json.loads(stored.value)["at"])
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/briarspur/metrics.py
+++ b/briarspur/metrics.py
@@ -17,6 +17,7 @@
     "entries_reporting": "gauge: entries whose load the planner got in its last round",
     "invariant_violations": "counter by name: properties that did not hold",
     "policy_version": "gauge: version of the policy in force",
+    "swept": "counter: claims and outcomes of keys deleted for their age",
     "old_versions_ignored": "counter by object: reads older than what is in force",
 }
 """Every metric with its type and meaning; ``docs/METRICS.md`` lists them."""
--- a/briarspur/steer.py
+++ b/briarspur/steer.py
@@ -16,6 +16,7 @@
 from briarspur import daemon, logs
 from briarspur.coord.invariants import invariants
 from briarspur.coord.lease import FencedWriter, Lease
+from briarspur.coord.sweep import Sweeper, hex_prefixes
 from briarspur.coord.writer import ConditionalWriter
 from briarspur.metrics import Metrics, NullMetrics, StatsdMetrics
 from briarspur.objects import HttpObjectStore, VmList
@@ -33,6 +34,9 @@
 STEPS_PER_LEASE = 3
 BACKLOG = 50
 LOAD_TIMEOUT_S = 1.0
+SWEEP_INTERVAL_S = 5.0
+KEPT_S = 2 * 86_400.0
+"""Claims and outcomes of keys older than this are deleted; a key lives for a day at most."""
 
 
 class SteerDaemon:
@@ -63,6 +67,12 @@
             time.monotonic,
             writer,
         )
+        self._sweeper = Sweeper(
+            self._store,
+            [*hex_prefixes("claims/"), *hex_prefixes("outcomes/")],
+            KEPT_S,
+            time.time,
+        )
         self._policies = PolicyReader(self._store)
         self._rounds = SteerRounds(
             self._lease,
@@ -84,6 +94,7 @@
         self._tasks = [
             loop.create_task(_repeat(self._step, step_interval)),
             loop.create_task(_repeat(self._round, settings.plan_interval_s)),
+            loop.create_task(_repeat(self._sweep, SWEEP_INTERVAL_S)),
         ]
 
     async def stop(self) -> None:
@@ -125,6 +136,11 @@
         if held_before and not held:
             logs.event("lease-lost", logging.WARNING, term=self._lease.term)
 
+    async def _sweep(self) -> None:
+        if self._lease.held(time.monotonic()):
+            deleted = await self._sweeper.step()
+            self._metrics.count("swept", amount=deleted)
+
     async def _round(self) -> None:
         await self._rounds.run()
 
