Close the request of a caller that joined a claim and hung up

It stayed open for good, and a stopping entry would have waited for it: when both callers of a claim had left, the one that had joined was taken for the one whose claim was on the way.

--- a/briarspur/finals.py
+++ b/briarspur/finals.py
@@ -92,9 +92,13 @@
         """Give a once-only request up if nothing was dispatched and no other caller waits."""
         key = self._keys.leave(work.request.request_id)
         runners = [w for w in self._works_by_id.values() if key is not None and w.key == key]
-        if work.claiming or any(runner.claiming for runner in runners):
+        if work.claiming:
             # The claim may take effect and can't be made twice: its answer decides.
             return
+        if any(runner.claiming for runner in runners):
+            # One that joined has nothing of its own to wait for; the claim's answer is the runner's.
+            self.close(work)
+            return
         if key is not None:
             self._keys.not_run(key)
             for runner in runners:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -183,6 +183,18 @@
         again = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
         self.assertIsInstance(again, Dispatch)
 
+    def test_all_callers_of_a_claim_leave(self) -> None:
+        """A stopping entry never ends: it waits for a request whose caller is long gone.
+
+        Two callers wait for one claim; both hang up before its answer comes.
+        """
+        claim = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
+        self.bench.arrive("POST", "/booking/new", key="my-own-key")
+        for request_id in (claim.request_id, "r2"):
+            self.core.caller_gone(request_id, 0.1)
+        self.core.claim_settled(claim.request_id, SettledClaim(ClaimResult.OURS), 0.2)
+        self.assertEqual(self.core.open_requests(), 0)
+
     def test_key_of_a_gone_entry_is_run_by_nobody(self) -> None:
         """A passenger would be booked twice.
 
