--- a/briarspur/finals.py
+++ b/briarspur/finals.py
@@ -96,7 +96,7 @@
             # The claim may take effect and can't be made twice: its answer decides.
             return
         if any(runner.claiming for runner in runners):
-            # One that joined has nothing of its own to wait for; the claim's answer is the runner's.
+            # One that joined waits for nothing of its own: the claim's answer is the runner's.
             self.close(work)
             return
         if key is not None:
