--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -126,6 +126,10 @@
         """Return how many live entries this one sees, itself included."""
         return len(self.node.view.by_id)
 
+    def watches_policy(self) -> bool:
+        """Return whether this entry watches the policy in the store for its zone."""
+        return self._follow.watches(POLICY_NAME)
+
     def policy_version(self) -> int:
         """Return the version in force, 0 if there is none."""
         return self.node.policy.version if self.node.policy is not None else 0
@@ -245,7 +249,7 @@
             follow=self._follow,
             client=self._peers,
             vms=self._vms,
-            on_view=self.node.view_changed,
+            on_view=self._view_changed,
             load=self.node.load_report,
             clock=self._clock.monotonic,
             rng=self._rng,
--- a/briarspur/follow.py
+++ b/briarspur/follow.py
@@ -99,6 +99,10 @@
         self._members_changed = asyncio.Event()
         gone.set()
 
+    def watches(self, name: str) -> bool:
+        """Whether this entry is one of its zone's watchers of an object."""
+        return self._spread.watches(name)
+
     def is_ready(self, name: str) -> bool:
         """Whether the version in force may be served by; see :class:`Readiness`.
 
