Refuse foreign keys at once while the store is out; reduced slots until a service's own deadline

In an outage every claim of a foreign key waited for the store's timeout, often the caller's whole deadline. After one unsettled claim the others are refused at once for a second (test failed before: the second claim was asked too). A target taken over kept its slots reduced for 5 s, whatever the old owner's requests may last; it is now the longest deadline of the target's service.

--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -52,15 +52,12 @@
     ----------
     key_skew : float
         By how much the wall clocks of entries may differ.
-    handover_margin : float
-        How long a target taken over from another entry runs at reduced slots.
     """
 
     queue_limit: int = 200
     remembered_keys: int = 50_000
     key_lifetime: float = 600.0
     key_skew: float = 30.0
-    handover_margin: float = 5.0
 
 
 class Core:
@@ -165,7 +162,8 @@
             # The entry that owned the target before may still have requests running on it, so its
             # slots are reduced until those have reached their deadlines.
             if not self._first_assignment:
-                own.ramp.handover(now, now + self.settings.handover_margin)
+                service = self.policy.services_by_name[own.target.service]
+                own.ramp.handover(now, now + service.longest_deadline)
         self._first_assignment = False
 
     def ready(self) -> bool:
--- a/briarspur/keystore.py
+++ b/briarspur/keystore.py
@@ -1,6 +1,10 @@
 """Claims and left outcomes of keys, as the carrier of requests asks for them."""
 
-from briarspur.coord.claims import ClaimOurs, Claims, ClaimTaken
+import math
+import time
+from collections.abc import Callable
+
+from briarspur.coord.claims import ClaimOurs, Claims, ClaimTaken, ClaimUnsettled
 from briarspur.coord.keys import Key, parse_key
 from briarspur.coord.outcomes import (
     FinishedOutcome,
@@ -15,6 +19,9 @@
 
 __all__ = ["ObjectKeyStore"]
 
+PAUSE_S = 1.0
+"""Seconds without claims after one that the store did not settle."""
+
 
 class ObjectKeyStore:
     """Keys in the object store.
@@ -25,18 +32,31 @@
         Holds the outcomes that other incarnations left.
     claims : Claims
         Claims of this incarnation.
+    clock : callable
+        Monotonic seconds.
     """
 
-    def __init__(self, store: ObjectStore, claims: Claims) -> None:
+    def __init__(
+        self, store: ObjectStore, claims: Claims, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._store = store
         self._claims = claims
+        self._clock = clock
+        self._unsettled_until = -math.inf
 
     async def claim(self, key: str, body_digest: bytes) -> SettledClaim:
         """Claim a foreign key."""
         parsed = parse_key(key)
         if parsed.is_error():
             return SettledClaim(ClaimResult.UNSETTLED)
+        # In an outage of the store each claim waits for a timeout, often its caller's whole
+        # deadline. After one that could not be settled, the others get their refusal at once, but
+        # for one try in each pause.
+        if self._clock() < self._unsettled_until:
+            return SettledClaim(ClaimResult.UNSETTLED)
         outcome = await self._claims.claim(parsed.ok, body_digest)
+        if isinstance(outcome, ClaimUnsettled):
+            self._unsettled_until = self._clock() + PAUSE_S
         if isinstance(outcome, ClaimOurs):
             return SettledClaim(ClaimResult.OURS)
         if isinstance(outcome, ClaimTaken):
--- a/briarspur/policy.py
+++ b/briarspur/policy.py
@@ -198,6 +198,11 @@
     objective: Objective
     split_by_home: dict[str, dict[str, float]]
 
+    @property
+    def longest_deadline(self) -> float:
+        """Return the longest deadline of its classes of request, in seconds."""
+        return max(rule.deadline for rule in self.rules)
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
@@ -250,8 +255,7 @@
     @property
     def longest_deadline(self) -> float:
         """Return the longest deadline of any class of request, in seconds."""
-        services = self.services_by_name.values()
-        return max(rule.deadline for service in services for rule in service.rules)
+        return max(service.longest_deadline for service in self.services_by_name.values())
 
     def targets_of(self, service: str, region: str) -> list[Target]:
         """Return the targets of a service in a region, in the order of their ids."""
