--- a/briarspur/inflight.py
+++ b/briarspur/inflight.py
@@ -1,5 +1,6 @@
 """The attempts in progress: what each one holds, and what its end teaches."""
 
+from briarspur.coord.invariants import invariants
 from briarspur.coord.once import KeyMemory
 from briarspur.coord.quarantine import Quarantine
 from briarspur.members import ViewedMember
@@ -40,8 +41,9 @@
         """
         attempt = self._by_id.get(attempt_id)
         work = self._work_by_attempt.get(attempt_id)
-        if attempt is None or work is None or work.attempt is not attempt:
+        if attempt is None or work is None:
             return None
+        invariants.check("one-attempt-a-request", work.attempt is attempt, attempt)
         return work, attempt
 
     def to_target(self, work: Work, own: OwnTarget, now: float) -> Dispatch | None:
@@ -130,7 +132,7 @@
         if own is not None:
             self._record(attempt, failure is Failure.SHED, now)
             if crashed:
-                self._crashed(own, attempt, now)
+                self._crashed(own, now)
         self.end(work, attempt)
         if attempt.target_id is not None:
             work.failed_targets.add(attempt.target_id)
@@ -152,11 +154,10 @@
             self._placement.account.release(work.deadline)
             self._quarantine.end_alone(work.request.body_digest, own.target.target_id)
 
-    def _crashed(self, own: OwnTarget, attempt: Attempt, now: float) -> None:
+    def _crashed(self, own: OwnTarget, now: float) -> None:
         # One crash breaks every connection to the target. Counting each as a crash would convict a
-        # suspect at the first one, so the first event names the suspects and clears the list.
-        if attempt.attempt_id not in own.digests_by_attempt:
-            return
+        # suspect at the first one, so the first event names the suspects and clears the list; the
+        # ramp begins at one again, so nothing new is sent before the last of them has broken.
         suspects = list(own.digests_by_attempt.values())
         own.digests_by_attempt.clear()
         self._quarantine.crashed(own.target.target_id, suspects, now)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Any
 
-from briarspur.codes import Code
+from briarspur.codes import CODES, Code, Ran
 from briarspur.coord.invariants import invariants
 from briarspur.core import CoreSettings
 from briarspur.members import MemberView
@@ -96,6 +96,32 @@
         self.assertIsInstance(next_sent[0], Dispatch)
 
 
+class CrashTest(unittest.TestCase):
+    """One crash is one crash."""
+
+    def test_a_late_break_of_an_old_crash_blames_nobody_new(self) -> None:
+        """A timetable is refused for ten minutes as if it killed backend servers.
+
+        A target with two requests crashes. The break of the first connection is seen, the target
+        comes back and gets a timetable, and only then the break of the second one is seen.
+        """
+        invariants.strict = True
+        core = make_core("entry-1", random.Random(1))
+        bench = Bench(core)
+        for own in core.placement.targets_by_service["times"].by_id.values():
+            own.ramp.assume_warm()
+        sent = [bench.arrive("GET", f"/times/{n}")[0] for n in range(4)]
+        crashed_id = sent[0].target.target_id
+        old = [each for each in sent if each.target.target_id == crashed_id]
+        core.attempt_failed(old[0].attempt_id, Failure.LOST, 0.1, crashed=True)
+        suspects = {verdict.digest for verdict in core.quarantine.verdicts(0.2)}
+        bench.arrive("GET", "/times/new", 0.2)
+        core.attempt_failed(old[1].attempt_id, Failure.LOST, 0.3, crashed=True)
+        verdicts = core.quarantine.verdicts(0.4)
+        self.assertEqual({verdict.digest for verdict in verdicts}, suspects)
+        self.assertEqual([verdict.crashes for verdict in verdicts], [1, 1])
+
+
 class OnceOnlyTest(unittest.TestCase):
     """Bookings run at most once."""
 
@@ -226,6 +252,17 @@
         self.core.claim_settled(claim.request_id, SettledClaim(ClaimResult.OURS), 0.2)
         self.assertEqual(self.core.open_requests(), 0)
 
+    def test_unreachable_home_leaves_the_outcome_unknown(self) -> None:
+        """A passenger is told 'not run' of a booking that stands, and books again.
+
+        The first copy reached the key's home, which was then cut off; the repeat comes to another
+        entry, which can't reach the home and knows nothing of the first copy.
+        """
+        key = self.bench.key(incarnation=body(2))
+        sent = self.bench.arrive("POST", "/booking/new", key=key)[0]
+        ended = self.core.attempt_failed(sent.attempt_id, Failure.NOT_SENT, 0.1)[0]
+        self.assertIs(CODES[ended.refusal.code].ran, Ran.UNKNOWN)
+
     def test_key_of_a_gone_entry_is_run_by_nobody(self) -> None:
         """A passenger would be booked twice.
 
@@ -233,6 +270,7 @@
         """
         key = self.bench.key(incarnation="f" * 16)
         asked = self.bench.arrive("POST", "/booking/new", key=key)[0]
+        self.assertIsInstance(asked, FetchOutcome)
         ended = self.core.outcome_fetched(asked.request_id, False, None, 0.1)
         self.assertEqual(ended[0].refusal.code, Code.HOME_GONE)
 
