Health, readiness and status pages for the console and the burn collector

Two daemons had none. The pages of briarspur-steer are now shared by the collector; the console answers /healthz without the store and /readyz only with it.

--- a/briarspur/burn.py
+++ b/briarspur/burn.py
@@ -10,9 +10,10 @@
 import time
 import uuid
 from collections.abc import Mapping, Sequence
+from typing import Any, cast
 
-from briarspur import daemon
-from briarspur.burncollect import Burn, BurnReader
+from briarspur import daemon, logs
+from briarspur.burncollect import Burn, BurnReader, BurnStatus
 from briarspur.burnreport import BurnReport, make_report, report_html, report_text
 from briarspur.clicontext import open_context, reader_gone
 from briarspur.collect import Collector
@@ -31,6 +32,7 @@
 from briarspur.printing import to_json
 from briarspur.repository import PolicyRepository
 from briarspur.settings import BurnSettings
+from briarspur.statuspage import status_site
 
 __all__ = ["live_report", "main", "read_report"]
 
@@ -102,30 +104,48 @@
         await asyncio.sleep(LEASE_S / LEASE_STEPS)
 
 
+NAME = "briarspur-burn"
+
+
 class _Daemon:
     """Runs :class:`Burn` on the platform that the settings name."""
 
-    def __init__(self, settings: str) -> None:
+    def __init__(self, path: str, settings: BurnSettings) -> None:
+        self._path = path
         self._settings = settings
+        self._burn: Burn | None = None
+        self._listening: Any = None
         self._running: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Begin to collect."""
+        """Show the status page and begin to collect."""
+        from twisted.internet import reactor
+
+        site = status_site(self._status)
+        port, host = self._settings.status_port, self._settings.host
+        self._listening = cast(Any, reactor).listenTCP(port, site, interface=host)
+        logs.event("status-page", host=host, port=self._listening.getHost().port)
         self._running = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
-        async with open_context(self._settings, False, "briarspur-burn") as context:
+        async with open_context(self._path, False, NAME, BurnSettings) as context:
             reader = BurnReader(context.directory, context.fetcher)
             history = LevelHistory(context.store)
             lease = _lease(context.store)
             burn = Burn(context.repository, reader, history, lambda: lease.not_known_lost)
+            self._burn = burn
             try:
                 await asyncio.gather(burn.run(), _keep(lease))
             finally:
                 await lease.release()
 
+    def _status(self) -> BurnStatus:
+        return self._burn.status() if self._burn is not None else BurnStatus()
+
     async def stop(self) -> None:
         """End; a minute that is not yet written stays missing."""
+        if self._listening is not None:
+            self._listening.stopListening()
         if self._running is not None:
             self._running.cancel()
             await asyncio.gather(self._running, return_exceptions=True)
@@ -146,7 +166,7 @@
         passed_on = ["--settings", arguments.settings]
         passed_on += ["--check"] if arguments.check else []
         return daemon.run(
-            "briarspur-burn", BurnSettings, lambda _: _Daemon(arguments.settings), passed_on
+            "briarspur-burn", BurnSettings, lambda s: _Daemon(arguments.settings, s), passed_on
         )
     try:
         return run_once(lambda: _once(arguments))
@@ -162,7 +182,7 @@
 
 async def _once(arguments: argparse.Namespace) -> ExitCode:
     load_settings(BurnSettings, arguments.settings)
-    async with open_context(arguments.settings, arguments.json, "briarspur-burn") as context:
+    async with open_context(arguments.settings, arguments.json, NAME, BurnSettings) as context:
         if arguments.live:
             reader = BurnReader(context.directory, context.fetcher)
             report = await live_report(context.repository, reader, time.time())
--- a/briarspur/burncollect.py
+++ b/briarspur/burncollect.py
@@ -3,11 +3,12 @@
 import asyncio
 import contextlib
 import logging
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from pydantic import ValidationError
+from pydantic import BaseModel, ConfigDict, ValidationError
 
 from briarspur import logs
 from briarspur.collect import Collector, Counted
@@ -21,11 +22,14 @@
 from briarspur.repository import PolicyRepository
 from briarspur.windows import HOUR_S, SLOT_S
 
-__all__ = ["Burn", "BurnReader", "EntryLevels"]
+__all__ = ["Burn", "BurnReader", "BurnStatus", "EntryLevels"]
 
 SETTLE_S = 2.0
 """Seconds after a minute's end at which entries are read."""
 
+READY_S = 3 * SLOT_S
+"""Seconds after the last collection for which the daemon counts as ready."""
+
 ASKED_AT_ONCE = 20
 TAKEOVER_MINUTES = 2
 """Minutes that a standby holds: what the lease needs to change hands, and one more."""
@@ -85,6 +89,26 @@
             return "malformed answer"
 
 
+class BurnStatus(BaseModel):
+    """What one ``briarspur-burn`` knows of itself.
+
+    Attributes
+    ----------
+    ready : bool
+        It collected within the last minutes.
+    writes : bool
+        It is the one that writes; the others stand by.
+    """
+
+    model_config = ConfigDict(frozen=True)
+
+    ready: bool = False
+    writes: bool = False
+    seconds_since_collected: float | None = None
+    minutes_waiting: int = 0
+    policy_version: int = 0
+
+
 class Burn:
     """Collects once a minute until it is stopped.
 
@@ -112,6 +136,18 @@
         self._collector = Collector()
         self._policy: Policy | None = None
         self._pending_by_service: dict[str, list[Counted]] = {}
+        self._collected_at = -math.inf
+
+    def status(self) -> BurnStatus:
+        """Return what the status page shows."""
+        age = self._wall() - self._collected_at
+        return BurnStatus(
+            ready=age < READY_S,
+            writes=self._may_write(),
+            seconds_since_collected=age if math.isfinite(age) else None,
+            minutes_waiting=sum(len(minutes) for minutes in self._pending_by_service.values()),
+            policy_version=self._policy.version if self._policy is not None else 0,
+        )
 
     async def run(self) -> None:
         """Collect for ever; a failure is logged and the next minute is tried."""
@@ -147,6 +183,7 @@
             await self._write(service, pending)
             if now % HOUR_S < SLOT_S + SETTLE_S:
                 await self._history.forget(service, now)
+        self._collected_at = now
 
     async def _read_policy(self) -> None:
         """Read the services to collect; while the store is down, those of the last policy."""
--- a/briarspur/clicontext.py
+++ b/briarspur/clicontext.py
@@ -22,7 +22,7 @@
 from briarspur.porcelain import Directory, Signature
 from briarspur.printing import to_json
 from briarspur.repository import PolicyRepository
-from briarspur.settings import CliSettings
+from briarspur.settings import CliSettings, DaemonSettings
 
 __all__ = ["Context", "VmDirectory", "open_context", "read_file", "reader_gone", "show", "sign"]
 
@@ -88,12 +88,14 @@
 
 
 @asynccontextmanager
-async def open_context(settings: str | None, json: bool, author: str) -> AsyncIterator[Context]:
+async def open_context(
+    settings: str | None, json: bool, author: str, model: type[DaemonSettings] = CliSettings
+) -> AsyncIterator[Context]:
     """Connect to the platform that the settings name; without settings, to nothing."""
     if settings is None:
         yield Context(json, author)
         return
-    platform = load_settings(CliSettings, settings).platform
+    platform = load_settings(model, settings).platform
     from twisted.internet import reactor
 
     fetcher = HttpFetcher(cast(IReactorTCP, reactor), platform.timeout_s)
--- a/briarspur/consolepages.py
+++ b/briarspur/consolepages.py
@@ -102,6 +102,8 @@
             ("POST", "/accept"): self._accept,
             ("POST", "/resolve"): self._resolve,
             ("GET", "/status"): self._status,
+            ("GET", "/healthz"): self._health,
+            ("GET", "/readyz"): self._readiness,
             ("GET", "/drains"): self._drains,
             ("GET", "/history"): self._history,
         }
@@ -137,6 +139,14 @@
     def _message(self, asked: Asked, status: int, text: str, draft: str = "") -> Page:
         return self._render(asked, status, "message.html", text=text, draft=draft)
 
+    async def _health(self, asked: Asked) -> Page:
+        return Page(OK, "ok\n")
+
+    async def _readiness(self, asked: Asked) -> Page:
+        """Say whether the store answers; a store that does not is answered by ``answer``."""
+        await self._repository.current()
+        return Page(OK, "ok\n")
+
     async def _overview(self, asked: Asked) -> Page:
         current = await self._repository.current()
         burns = await self._view.burns() if current else None
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -14,6 +14,7 @@
 
 EVENTS: dict[str, str] = {
     "started": "the daemon listens",
+    "status-page": "where the daemon's status page is",
     "stopping": "a graceful stop began",
     "stop-leaving": "the entry left look-ups and handed its targets over, and serves on",
     "stop-finishing": "cached look-ups have lapsed; requests in flight are being finished",
--- a/briarspur/settings.py
+++ b/briarspur/settings.py
@@ -98,6 +98,9 @@
 class BurnSettings(DaemonSettings):
     """Settings of ``briarspur-burn``."""
 
+    host: Host = "127.0.0.1"
+    status_port: Port = Field(default=0, description="0: any free port, named in the log")
+
 
 class CliSettings(DaemonSettings):
     """Settings of the command line ``briarspur``."""
--- a/briarspur/steer.py
+++ b/briarspur/steer.py
@@ -25,8 +25,9 @@
 from briarspur.planner import Planner
 from briarspur.reporters import Reporters
 from briarspur.settings import SteerSettings
+from briarspur.statuspage import status_site
 from briarspur.steerround import PolicyReader, SteerRounds
-from briarspur.steerstatus import SteerStatus, status_site
+from briarspur.steerstatus import SteerStatus
 
 __all__ = ["LEASE_NAME", "SteerDaemon", "main"]
 
--- a/briarspur/steerstatus.py
+++ b/briarspur/steerstatus.py
@@ -1,13 +1,8 @@
-"""The status page of ``briarspur-steer``."""
-
-from collections.abc import Callable
-from typing import cast
+"""What ``briarspur-steer`` says of itself at ``/status``."""
 
 from pydantic import BaseModel, ConfigDict
-from twisted.web.resource import IResource, Resource
-from twisted.web.server import Request, Site
 
-__all__ = ["SteerStatus", "status_site"]
+__all__ = ["SteerStatus"]
 
 
 class SteerStatus(BaseModel):
@@ -31,33 +26,3 @@
     entries_reporting: int = 0
     headroom: dict[str, dict[str, float]] = {}
     invariant_violations: dict[str, int] = {}
-
-
-def status_site(status: Callable[[], SteerStatus]) -> Site:
-    """Return a site with ``/healthz``, ``/readyz`` and ``/status``."""
-    pages = {
-        b"healthz": _Page(lambda: (200, "ok\n")),
-        b"readyz": _Page(lambda: (200, "ok\n") if status().ready else (503, "no\n")),
-        b"status": _Page(lambda: (200, status().model_dump_json() + "\n")),
-    }
-    root = Resource()
-    for path, page in pages.items():
-        root.putChild(path, cast(IResource, page))
-    return Site(root)
-
-
-class _Page(Resource):
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, render: Callable[[], tuple[int, str]]) -> None:
-        Resource.__init__(self)
-        self._render = render
-
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
-        """Answer a GET."""
-        status, text = self._render()
-        request.setResponseCode(status)
-        is_json = text.startswith("{")
-        kind = b"application/json" if is_json else b"text/plain; charset=utf-8"
-        request.setHeader(b"content-type", kind)
-        return text.encode()
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -54,6 +54,13 @@
         assert report is not None
         return report
 
+    async def test_the_status_page_says_when_it_last_collected(self) -> None:
+        self.assertFalse(self.burn.status().ready)
+        await self.minute(good=1, bad=0)
+        self.assertTrue(self.burn.status().ready)
+        self.now += 10 * SLOT_S
+        self.assertFalse(self.burn.status().ready)
+
     async def test_what_burns_and_what_is_missing_is_named(self) -> None:
         for _ in range(7):
             await self.minute(good=90, bad=10)
--- a/tests/test_consolepages.py
+++ b/tests/test_consolepages.py
@@ -221,6 +221,12 @@
                 self.assertIn(page.status, (200, 422), (path, document, base))
         self.assertEqual(await self.in_force(), 500)
 
+    async def test_health_needs_no_store_and_readiness_does(self) -> None:
+        self.assertEqual((await self.get("/readyz")).status, 200)
+        self.store.down = True
+        self.assertEqual((await self.get("/healthz")).status, 200)
+        self.assertEqual((await self.get("/readyz")).status, 503)
+
 
 class TokensTest(unittest.TestCase):
     """The file of tokens."""
