Log each final refusal or failure with code, request id, entry and policy version

Only requests refused before they came whole left a line; what the core refused, or an attempt that failed, left none, so an operator could not follow a caller's complaint by its request id. The line is written once, at the entry the caller came to.

--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -95,7 +95,7 @@
             self.node.look_up,
             self.node,
             self._metrics,
-            ServerSettings(self._incarnation, settings.limits),
+            ServerSettings(self._incarnation, settings.limits, settings.entry_id),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._left_at = -float("inf")
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -10,7 +10,7 @@
 
 from briarspur import logs
 from briarspur.blocks import BlockTable
-from briarspur.codes import Code
+from briarspur.codes import CODES, Code, Ran
 from briarspur.coord.envelope import open_envelope
 from briarspur.coord.invariants import invariants
 from briarspur.coord.store import StoredObject
@@ -33,6 +33,7 @@
 __all__ = ["EntryNode", "NodeClock"]
 
 NOT_READY_RETRY_AFTER = 1.0
+WHOLE_ANSWERS = frozenset({Code.ANSWERED, Code.REPLAYED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +217,9 @@
             self._meter.arrived(service, home, self._clock.monotonic())
 
     def answered(self, request: Request, region: str, code: Code, seconds: float) -> None:
-        """Count a final answer."""
+        """Count a final answer; log it if it is not the service's own."""
+        if request.forwarded_by is None and code not in WHOLE_ANSWERS:
+            self._log_final(request, region, code, seconds)
         if self.policy is None or self._meter is None:
             return
         service = self._service_of(request.path)
@@ -229,6 +232,19 @@
             self._metrics.timing("answer_ms", seconds * 1000.0, service)
             self._levels.record(service, region or self.region, int(code), seconds)
 
+    def _log_final(self, request: Request, region: str, code: Code, seconds: float) -> None:
+        """Log a refusal or a failure, once, at the entry that the caller came to."""
+        logs.event(
+            "refused" if CODES[code].ran is Ran.NO else "failed",
+            code=int(code),
+            code_name=code.name,
+            request_id=request.request_id,
+            entry=self.settings.entry_id,
+            region=region or None,
+            policy_version=self.policy.version if self.policy is not None else 0,
+            seconds=f"{seconds:.3f}",
+        )
+
     def _service_of(self, path: str) -> str:
         assert self.policy is not None
         for service in self.policy.services_by_name.values():
--- a/briarspur/server.py
+++ b/briarspur/server.py
@@ -76,10 +76,13 @@
     ----------
     incarnation : str
         Random id of this process, the first part of each request id.
+    entry_id : str
+        Named in the log.
     """
 
     incarnation: str
     limits: LimitSettings
+    entry_id: str = ""
 
 
 class EntryServer:
@@ -130,7 +133,8 @@
     def refused(self, refusal: Refusal) -> None:
         """Count and log a request that was refused before it came whole."""
         self._metrics.count("answers", refusal.code.name)
-        logs.event("refused", code=int(refusal.code), code_name=refusal.code.name)
+        code, entry = refusal.code, self._settings.entry_id
+        logs.event("refused", code=int(code), code_name=code.name, entry=entry)
 
     def _factory(self, kind: "type[CallerRequest | ForwardedRequest]") -> ChannelFactory:
         def make(channel: HTTPChannel, queued: object) -> CarriedRequest:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,9 +3,11 @@
 import json
 import unittest
 
+from briarspur.codes import Code
 from briarspur.coord.envelope import Envelope
 from briarspur.coord.store import StoredObject
 from briarspur.documents import parse
+from briarspur.messages import Request
 from briarspur.metrics import NullMetrics
 from briarspur.node import EntryNode, NodeClock
 from briarspur.plan import PLAN_NAME, PlanDocument
@@ -26,6 +28,25 @@
     return PlanDocument(term=term, number=number, holder="h", policy_version=1).model_dump_json()
 
 
+class LogTest(unittest.TestCase):
+    """A final answer that is not the service's own leaves one line."""
+
+    def test_a_refusal_names_code_request_entry_and_policy(self) -> None:
+        settings = parse(EntrySettings, json.dumps(SETTINGS), "settings")
+        node = EntryNode(settings, "0" * 16, NullMetrics(), NodeClock(lambda: 0.0))
+        request = Request("r1", "GET", "/times/", None, b"", 1, 1.0)
+        with self.assertLogs("briarspur", "INFO") as logged:
+            node.answered(request, "", Code.OVERLOADED, 0.25)
+            node.answered(request, "north", Code.CONNECTION_LOST, 0.25)
+        refused, failed = logged.records
+        self.assertEqual((refused.getMessage(), failed.getMessage()), ("refused", "failed"))
+        named = {name: getattr(refused, name) for name in ("code", "request_id", "entry")}
+        self.assertEqual(named, {"code": 2100, "request_id": "r1", "entry": "entry-1"})
+        self.assertEqual(vars(refused)["policy_version"], 0)
+        with self.assertNoLogs("briarspur"):
+            node.answered(request, "north", Code.ANSWERED, 0.25)
+
+
 class PlanTest(unittest.TestCase):
     """Plans come into force in the order of term and number, whatever the object's version."""
 
