--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from briarspur import logs
 from briarspur.attempts import Inbound, OpenAttempt, OpenRequest
@@ -15,6 +15,7 @@
 from briarspur.interfaces import (
     CarryObserver,
     Clock,
+    DecisionCore,
     DelayedCall,
     FetchedOutcome,
     KeyStore,
@@ -37,7 +38,6 @@
     Refusal,
     Refuse,
     Reply,
-    Request,
     SettledClaim,
 )
 from briarspur.outgoing import dispatch_request, forward_request
@@ -48,54 +48,6 @@
 """Seconds between two ticks of the core at most, while anything is open."""
 
 
-class DecisionCore(Protocol):
-    """The decisions. Each event returns the actions to carry out, in order; times in seconds.
-
-    ``Request.deadline`` is infinite if the caller gave none; the core takes the earlier of it and
-    the rule's. Events of an attempt that was cancelled are not reported.
-    """
-
-    def request_arrived(self, request: Request, now: float, wall: float) -> list[Action]:
-        """Decide on a new request; ``wall`` is unix time in seconds."""
-
-    def answer_began(self, attempt_id: int, status: int, now: float) -> list[Action]:
-        """Decide on an answer: ``Begin`` passes it on; without one the attempt is dropped."""
-
-    def answer_ended(
-        self, attempt_id: int, answer: Answer | None, size: int, now: float, status: int = 200
-    ) -> list[Action]:
-        """Note a whole answer of ``size`` bytes; ``answer`` if it is to be remembered."""
-
-    def attempt_failed(
-        self,
-        attempt_id: int,
-        failure: Failure,
-        now: float,
-        retry_after: float | None = None,
-        passed: int = 0,
-        resumable: bool = False,
-        crashed: bool = False,
-    ) -> list[Action]:
-        """Decide on a failed attempt, of whose body the caller has ``passed`` bytes."""
-
-    def caller_gone(self, request_id: str, now: float) -> list[Action]:
-        """Decide on a request nobody waits for any more."""
-
-    def claim_settled(self, request_id: str, claim: SettledClaim, now: float) -> list[Action]:
-        """Go on after a claim."""
-
-    def outcome_fetched(
-        self, request_id: str, found: bool, answer: Answer | None, now: float
-    ) -> list[Action]:
-        """Go on after reading a gone incarnation's outcomes."""
-
-    def tick(self, now: float, wall: float) -> list[Action]:
-        """Do what is due."""
-
-    def next_wake(self, now: float) -> float | None:
-        """Return when a tick is due at the latest, None if nothing waits."""
-
-
 @dataclass(frozen=True, slots=True)
 class CarrySettings:
     """What a carrier needs to know of its entry.
--- a/briarspur/interfaces.py
+++ b/briarspur/interfaces.py
@@ -1,4 +1,4 @@
-"""What a carrier of requests needs around it: a sender, a clock, the key store, pacing of links."""
+"""What a carrier of requests needs around it: the core, a sender, a clock, keys, pacing."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -6,11 +6,12 @@
 
 from briarspur.backend import Attempt, AttemptEvents, Outgoing
 from briarspur.codes import Code
-from briarspur.messages import Answer, Priority, Request, SettledClaim
+from briarspur.messages import Action, Answer, Failure, Priority, Request, SettledClaim
 
 __all__ = [
     "CarryObserver",
     "Clock",
+    "DecisionCore",
     "DelayedCall",
     "FetchedOutcome",
     "KeyStore",
@@ -28,6 +29,54 @@
     answer: Answer | None = None
 
 
+class DecisionCore(Protocol):
+    """The decisions. Each event returns the actions to carry out, in order; times in seconds.
+
+    ``Request.deadline`` is infinite if the caller gave none; the core takes the earlier of it and
+    the rule's. Events of an attempt that was cancelled are not reported.
+    """
+
+    def request_arrived(self, request: Request, now: float, wall: float) -> list[Action]:
+        """Decide on a new request; ``wall`` is unix time in seconds."""
+
+    def answer_began(self, attempt_id: int, status: int, now: float) -> list[Action]:
+        """Decide on an answer: ``Begin`` passes it on; without one the attempt is dropped."""
+
+    def answer_ended(
+        self, attempt_id: int, answer: Answer | None, size: int, now: float, status: int = 200
+    ) -> list[Action]:
+        """Note a whole answer of ``size`` bytes; ``answer`` if it is to be remembered."""
+
+    def attempt_failed(
+        self,
+        attempt_id: int,
+        failure: Failure,
+        now: float,
+        retry_after: float | None = None,
+        passed: int = 0,
+        resumable: bool = False,
+        crashed: bool = False,
+    ) -> list[Action]:
+        """Decide on a failed attempt, of whose body the caller has ``passed`` bytes."""
+
+    def caller_gone(self, request_id: str, now: float) -> list[Action]:
+        """Decide on a request nobody waits for any more."""
+
+    def claim_settled(self, request_id: str, claim: SettledClaim, now: float) -> list[Action]:
+        """Go on after a claim."""
+
+    def outcome_fetched(
+        self, request_id: str, found: bool, answer: Answer | None, now: float
+    ) -> list[Action]:
+        """Go on after reading a gone incarnation's outcomes."""
+
+    def tick(self, now: float, wall: float) -> list[Action]:
+        """Do what is due."""
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when a tick is due at the latest, None if nothing waits."""
+
+
 class KeyStore(Protocol):
     """The object store as keys need it."""
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,8 @@
 
 from briarspur.codes import CODES, Code, Ran
 from briarspur.coord.invariants import invariants
-from briarspur.core import CoreSettings
+from briarspur.core import Core, CoreSettings
+from briarspur.exchange import LEAVING_LIFETIME_S, LeavingNotice, News
 from briarspur.members import MemberView
 from briarspur.messages import (
     Answer,
@@ -96,6 +97,64 @@
         self.assertIsInstance(next_sent[0], Dispatch)
 
 
+class LeavingTest(unittest.TestCase):
+    """A leaving backend server gets no new work, whichever way that becomes known."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+
+    def asked(self, core: Core, now: float = 0.0) -> list[Any]:
+        return list(Bench(core).arrive("GET", f"/times/{now}", now))
+
+    def test_by_the_policy(self) -> None:
+        """A server that operators drain for maintenance goes on getting timetables."""
+        document = small_policy(entries=1)
+        for target in document["targets"].values():
+            target["state"] = "leaving"
+        core = make_core("entry-1", random.Random(1), document=document)
+        self.assertNotIsInstance(self.asked(core)[0], Dispatch)
+
+    def test_by_its_own_word_until_that_has_aged(self) -> None:
+        """A server that stops by itself goes on getting timetables, or never gets any again."""
+        core = make_core("entry-1", random.Random(1))
+        for target_id in core.placement.targets_by_service["times"].by_id:
+            core.exchange.target_leaving(target_id, 0.0, 0.0)
+        self.assertNotIsInstance(self.asked(core, 1.0)[0], Dispatch)
+        self.assertIsInstance(self.asked(core, LEAVING_LIFETIME_S + 1.0)[0], Dispatch)
+
+    def test_by_a_peer(self) -> None:
+        core = make_core("entry-1", random.Random(1))
+        ids = core.placement.targets_by_service["times"].by_id
+        notices = tuple(LeavingNotice(target_id, 0.5) for target_id in ids)
+        core.exchange.heard(News(leaving=notices), 1.0)
+        self.assertNotIsInstance(self.asked(core, 1.0)[0], Dispatch)
+
+
+class TakeoverTest(unittest.TestCase):
+    """Two owners of a target for a moment."""
+
+    def test_slots_are_reduced_until_the_old_owners_requests_have_ended(self) -> None:
+        """A server with three slots is asked to run six requests, and sheds a booking.
+
+        Its owner is cut off with three requests running; the new owner uses all slots at once.
+        """
+        invariants.strict = True
+        document = small_policy(targets=6, entries=2)
+        core = make_core("entry-1", random.Random(1), entries=2, document=document)
+        times = core.placement.targets_by_service["times"]
+        before = set(times.by_id)
+        alone = {i: m for i, m in core.view.by_id.items() if i != "entry-2"}
+        core.view_changed(MemberView(alone), 10.0)
+        taken_over = [own for target_id, own in times.by_id.items() if target_id not in before]
+        self.assertTrue(taken_over)
+        assert core.policy is not None
+        ended = 10.0 + core.policy.services_by_name["times"].longest_deadline
+        for own in taken_over:
+            own.ramp.assume_warm()
+            self.assertLess(own.ramp.limit(ended - 0.1), own.slots)
+            self.assertEqual(own.ramp.limit(ended), own.slots)
+
+
 class CrashTest(unittest.TestCase):
     """One crash is one crash."""
 
