Give up watches that hang in an outage; warm from the first request on; newcomers; bytes

Ruled out: a rejected document, a version taken back (logs show neither). Now the failure of one kind's call makes the others give up their watches.

Log lines for each attempt and final answer go to standard output through a sink that never waits; metrics as text.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -18,6 +18,7 @@
 from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.front import Front, FrontRequest
 from briarspur.gateway.loadview import News
+from briarspur.gateway.metricspage import metrics_text
 from briarspur.gateway.news import NewsPort
 from briarspur.gateway.objectsource import ObjectSource
 from briarspur.gateway.pages import Page, PageFactory
@@ -53,10 +54,11 @@
 LEAVE_MARGIN = 0.6
 """Seconds before the platform kills the process within which it has ended by itself."""
 RECORD_RETRY = 0.5
+METRICS_PATH = b"/metrics"
 
 PACES = {
     Kind.CONFIGURATION: Pace(wait=4.0, pause=0.0),
-    Kind.TARGETS: Pace(wait=2.0, pause=0.6),
+    Kind.TARGETS: Pace(wait=0.5, pause=0.6),
     Kind.EVACUATIONS: Pace(wait=4.0, pause=0.0),
     Kind.ENTRIES: Pace(wait=4.0, pause=0.2),
 }
@@ -93,7 +95,7 @@
                 retry_slack=settings.bounds.retry_slack,
             ),
         )
-        self.log = RequestLog(settings.entry_id)
+        self.log = RequestLog(settings.entry_id, self._reactor.seconds)
         self.pool = ConnectionPool(self._reactor, settings.host)
         connections = int((settings.descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE)
         self.front = Front(self._reactor, self, settings.memory_mb * MB, connections)
@@ -103,15 +105,15 @@
         self.believer = Believer(
             self.steering, self.fleet, codec, self._reactor.seconds, self._configured
         )
-        self._syncs = {kind: self._make_sync(kind) for kind in Kind}
-        self._news_port = NewsPort(self._heard)
-        self._open: set[Exchange] = set()
+        self.syncs = {kind: self._make_sync(kind) for kind in Kind}
+        self.news_port = NewsPort(self._heard)
+        self.open: set[Exchange] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._ports: list[Any] = []
         self._sequence = 0
         self._last_counts: Counter[int] = Counter()
         self._last_news_at = float("-inf")
-        self._entry_ids: list[str] = []
+        self.entry_ids: list[str] = []
         self.leaving = False
 
     # Life
@@ -125,9 +127,9 @@
                 self._listen(address, PageFactory(pages))
         if self.me.news_port:
             self._ports.append(
-                self._reactor.listenUDP(self.me.news_port, self._news_port, self.settings.host)
+                self._reactor.listenUDP(self.me.news_port, self.news_port, self.settings.host)
             )
-        for sync in self._syncs.values():
+        for sync in self.syncs.values():
             self._tasks.append(asyncio.ensure_future(sync.run()))
         self._tasks.append(asyncio.ensure_future(self._record_self()))
         self._reactor.callLater(NEWS_PERIOD, self._send_news)
@@ -140,14 +142,14 @@
         self.leaving = self.fleet.leaving = True
         self._send_now()
         self.front.leave()
-        logs.event("stop-leaving", open_requests=len(self._open))
+        logs.event("stop-leaving", open_requests=len(self.open))
         while self._reactor.seconds() < began + LEAVE_LISTENING:
             await asyncio.sleep(TICK)
         for port in self._ports[:1]:
             port.stopListening()
         self.front.leave()
-        logs.event("stop-finishing", open_requests=len(self._open))
-        while self._open and self._reactor.seconds() < end:
+        logs.event("stop-finishing", open_requests=len(self.open))
+        while self.open and self._reactor.seconds() < end:
             await asyncio.sleep(0.02)
         # The last answers are on their way out of the sockets.
         await asyncio.sleep(0.1)
@@ -163,13 +165,16 @@
     def take(self, request: IncomingRequest, caller: FrontRequest) -> Exchange | None:
         """Carry a request; None if it was answered at once."""
         now = self._reactor.seconds()
-        work = self.steering.begin(self._dialect.arrival(request.uri, request.headers), now)
+        arrival = self._dialect.arrival(request.uri, request.headers)
+        self.log.arrived()
+        work = self.steering.begin(arrival, now)
         if isinstance(work, Refused):
-            self.log.finals[work.code.name] += 1
+            version = self.steering.version
+            self.log.refused(arrival.request_id, work, arrival.host, arrival.path, version)
             caller.refuse(work)
             return None
         exchange = Exchange(self._services, request, work, caller)
-        self._open.add(exchange)
+        self.open.add(exchange)
         exchange.start()
         return None if exchange.done else exchange
 
@@ -187,7 +192,7 @@
         )
 
     def _ended(self, exchange: Exchange) -> None:
-        self._open.discard(exchange)
+        self.open.discard(exchange)
 
     # What is in force
 
@@ -204,10 +209,17 @@
             PACES[kind],
             self._rng,
             self._changed,
-            lambda which, reachable: self.believer.store_reachable(which, reachable),
+            self._store_reachable,
             self._reactor.seconds,
         )
 
+    def _store_reachable(self, kind: Kind, reachable: bool) -> None:
+        self.believer.store_reachable(kind, reachable)
+        if not reachable:
+            for other, sync in self.syncs.items():
+                if other is not kind:
+                    sync.doubt()
+
     async def _record_self(self) -> None:
         """Write where this entry is, so that others find it."""
         value = self._codec.entry_value(self.me)
@@ -247,10 +259,10 @@
             leaving=self.leaving,
             counts_by_number=self._last_counts,
             warmed=self.steering.loads.take_warmed(),
-            revisions={kind: sync.replica.revision for kind, sync in self._syncs.items()},
+            revisions={kind: sync.replica.revision for kind, sync in self.syncs.items()},
         )
         addresses = [(entry.host, entry.news_port) for entry in self.fleet.others()]
-        self._news_port.send(news, addresses)
+        self.news_port.send(news, addresses)
 
     def _counts(self) -> Counter[int]:
         return Counter(
@@ -268,8 +280,8 @@
         self.believer.tick()
         self.pool.sweep()
         entry_ids = self.fleet.entry_ids(now)
-        if entry_ids != self._entry_ids:
-            self._entry_ids = entry_ids
+        if entry_ids != self.entry_ids:
+            self.entry_ids = entry_ids
             self.steering.entries_changed(entry_ids)
             logs.event("entries-changed", live=len(entry_ids), entries=",".join(entry_ids))
 
@@ -277,16 +289,20 @@
 
     def _pages(self) -> dict[bytes, Callable[[bytes], Page]]:
         return {
+            METRICS_PATH: self._metrics_page,
             self._codec.ready_path: self._ready_page,
             self._codec.lookup_path: self._lookup_page,
         }
 
+    def _metrics_page(self, query: bytes) -> Page:
+        return Page(200, metrics_text(self), b"text/plain; version=0.0.4")
+
     def _ready_page(self, query: bytes) -> Page:
         return Page(200 if self.is_ready() else 503)
 
     def _lookup_page(self, query: bytes) -> Page:
-        region = self._codec.lookup_region(query) or self.me.region
-        entries = self.fleet.for_caller(region, self._reactor.seconds())
+        region, zone = self._codec.lookup_place(query)
+        entries = self.fleet.for_caller(region or self.me.region, zone, self._reactor.seconds())
         ttl = min(LOOKUP_TTL, self.settings.bounds.lookup_ttl_s)
         return Page(200, self._codec.lookup_body(entries, ttl))
 
--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -26,6 +26,11 @@
 counts three times, so that others go first as long as they are not far slower."""
 QUEUE_SHARE = 2.0
 """Waiting requests, in slots, that are given to one server: beyond, it would turn them away."""
+INVITE_PAUSE = 0.5
+"""Seconds between two objects that an entry makes warm at a newcomer; each makes one caller wait
+for the cold time."""
+NEWCOMER_SHARE = 0.5
+"""A server that knows fewer objects than this share of the mean of its service is a newcomer."""
 SUSPECT_COST = 2.0
 """Seconds counted for a suspected server when a request can't be repeated elsewhere."""
 MAX_CACHED_ORDERS = 5_000
@@ -37,6 +42,9 @@
     def __call__(self, target: Target) -> float:
         """Return seconds for the way there and back."""
 
+    def byte_cost(self, target: Target) -> float:
+        """Return the seconds that are counted for each byte of an answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class Wish:
@@ -96,6 +104,14 @@
             return self._best(wish, targets, ranked=False, now=now)
         order = self._order(wish, targets, epoch)
         best = self._best(wish, order[:CANDIDATES], ranked=True, now=now)
+        if best is not None and best.warm and self._is_newcomer(order[0], targets, wish, now):
+            # Objects that are warm elsewhere would leave a server that has just joined unused for
+            # ever: each would cost it the cold time. So it gets one from time to time while it is
+            # idle, of those that prefer it, until it knows as many as half of the others.
+            newcomer = self._best(wish, order[:1], ranked=True, now=now)
+            if newcomer is not None:
+                order[0].invited_at = now
+                return newcomer
         if best is None and len(order) > CANDIDATES:
             best = self._best(wish, order[CANDIDATES:], ranked=True, now=now)
         return best
@@ -121,6 +137,7 @@
             work = times.expected(warm) * speed
             transit = self._transit(target)
             cost = (transit + wait + work) * (1.0 + TROUBLE_COST * target.trouble)
+            cost += times.size * self._transit.byte_cost(target)
             if not warm:
                 cost += COLD_COST * (times.cold - times.warm)
                 if ranked:
@@ -132,6 +149,16 @@
                 best = Choice(target, warm, wait, work, transit)
         return best
 
+    def _is_newcomer(
+        self, target: Target, targets: Sequence[Target], wish: Wish, now: float
+    ) -> bool:
+        if target.load > 0 or target.cold_until > now or target.breaker.suspected:
+            return False
+        if now - target.invited_at < INVITE_PAUSE or not wish.route.repeatable:
+            return False
+        known = sum(len(other.warmth) for other in targets) / len(targets)
+        return len(target.warmth) < NEWCOMER_SHARE * known
+
     def _usable(self, target: Target, route: Route, now: float) -> bool:
         if not target.breaker.allows(now):
             return False
--- a/briarspur/gateway/codec.py
+++ b/briarspur/gateway/codec.py
@@ -31,8 +31,8 @@
     def entry_value(self, record: EntryRecord) -> dict[str, Any]:
         """Return an entry's record as it is stored."""
 
-    def lookup_region(self, query: bytes) -> str:
-        """Return the region that a look-up comes from."""
+    def lookup_place(self, query: bytes) -> tuple[str, str]:
+        """Return region and availability zone that a look-up comes from."""
 
     def lookup_body(self, entries: Iterable[EntryRecord], lifetime: float) -> bytes:
         """Return the answer to a look-up."""
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -214,6 +214,7 @@
         assert sending.head is not None
         head, body = sending.head, sending.take_body()
         self._give_up_others(sending)
+        self._services.steering.answer_size(self.work, len(body))
         whole = AnswerHead(head.status, head.headers, len(body))
         self._caller.begin(whole, self._services.dialect.answer_headers(head.headers))
         self._caller.write(body)
--- a/briarspur/gateway/fleet.py
+++ b/briarspur/gateway/fleet.py
@@ -66,12 +66,21 @@
         """Return the ids of all live entries, this one included."""
         return sorted([self.me.entry_id, *(record.entry_id for record in self.live(now))])
 
-    def for_caller(self, region: str, now: float) -> list[EntryRecord]:
-        """Return the entries that a caller of a region may use, those of its region if any."""
+    def for_caller(self, region: str, zone: str, now: float) -> list[EntryRecord]:
+        """Return the entries that a caller may use.
+
+        They are those of its availability zone, if that has at least the mean number of its region,
+        or else those of the region: bytes within a zone cost nothing, but a single entry must not
+        carry what two do elsewhere.
+        """
         live = self.live(now)
         if not self.leaving or not live:
             live.append(self.me)
         near = [record for record in live if record.region == region]
+        zones = {record.zone for record in near}
+        same = [record for record in near if record.zone == zone]
+        if same and len(same) * len(zones) >= len(near):
+            near = same
         return sorted(near or live, key=lambda record: record.entry_id)[:MOST_NAMED]
 
     def silent_for(self, entry_id: str, now: float) -> float:
--- /dev/null
+++ b/briarspur/gateway/metricspage.py
@@ -0,0 +1,46 @@
+"""What a gateway process shows of itself to scrapers."""
+
+from typing import TYPE_CHECKING
+
+from briarspur.gateway.exposition import Exposition
+
+if TYPE_CHECKING:
+    from briarspur.gateway.app import Gateway
+
+__all__ = ["metrics_text"]
+
+
+def metrics_text(gateway: "Gateway") -> bytes:
+    """Return the metrics page."""
+    page = Exposition()
+    page.values("requests_total", "code", gateway.log.finals)
+    page.values("attempts_total", "outcome", gateway.log.outcomes)
+    for route, histogram in sorted(gateway.log.answer_times.items()):
+        page.histogram("answer_seconds", histogram, route=route)
+    page.histogram("attempt_seconds", gateway.log.attempt_times)
+    page.value("open_requests", len(gateway.open))
+    page.value("target_connections_total", gateway.pool.made)
+    _targets(page, gateway)
+    page.value("entries_live", len(gateway.entry_ids))
+    page.value("configuration_version", gateway.steering.version)
+    _store(page, gateway)
+    page.value("objects_malformed_total", gateway.believer.malformed)
+    page.value("news_malformed_total", gateway.news_port.malformed)
+    return page.text()
+
+
+def _targets(page: Exposition, gateway: "Gateway") -> None:
+    for service, targets in sorted(gateway.steering.targets.by_service.items()):
+        page.value("targets", len(targets), service=service)
+        suspected = sum(target.breaker.suspected for target in targets)
+        page.value("targets_suspected", suspected, service=service)
+        page.value("in_flight", sum(target.load for target in targets), service=service)
+
+
+def _store(page: Exposition, gateway: "Gateway") -> None:
+    now = gateway.pool.seconds()
+    for kind, sync in gateway.syncs.items():
+        name = kind.name.lower()
+        page.value("store_age_seconds", now - sync.current_at, kind=name)
+        page.value("store_calls_total", sync.answered_calls, kind=name, result="answered")
+        page.value("store_calls_total", sync.failed_calls, kind=name, result="failed")
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -95,6 +95,8 @@
     ----------
     queued : bool
         Others were before it at the server, so that its time says little about the work.
+    warms : bool
+        It is the first of its object there, as far as known.
     """
 
     work: Work
@@ -104,6 +106,7 @@
     transit: float
     queued: bool
     started: float
+    warms: bool = False
     ended: bool = False
 
     @property
@@ -143,6 +146,11 @@
 
     # What is in force
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return self.configuration.version if self.configuration is not None else 0
+
     def configuration_accepted(self, configuration: Configuration) -> bool:
         """Take a configuration if it is newer than the one in force."""
         current = self.configuration
@@ -214,6 +222,10 @@
         ratio = (now - attempt.started) / max(attempt.expected, SHORTEST_TRY)
         attempt.target.at_least_as_slow(ratio * attempt.target.current_speed(now), now)
 
+    def answer_size(self, work: Work, size: int) -> None:
+        """Learn the size of a whole answer, in bytes."""
+        self.times.route(work.route.name, work.route.goal).learn_size(size)
+
     def ended(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
         """Learn from the end of an attempt."""
         if attempt.ended:
@@ -221,6 +233,8 @@
         attempt.ended = True
         target = attempt.target
         target.in_flight -= 1
+        if outcome in NOT_RUN and attempt.warms and attempt.work.key is not None:
+            target.warmth.discard(attempt.work.key)
         match outcome:
             case Outcome.ANSWERED | Outcome.SERVER_ERROR:
                 target.breaker.succeeded()
@@ -265,6 +279,12 @@
             target.cold_rate.take(now)
         target.in_flight += 1
         target.breaker.sent()
+        # A server has an object at hand as soon as it begins with it: of two requests that overlap
+        # only the first takes the cold time. Noted at the send, the next ones for the object follow
+        # it instead of making another server warm.
+        first = work.key is not None and target.warmth.add(work.key)
+        if first and work.key is not None:
+            self.loads.warmed(target.number, work.key)
         work.tried.append(target)
         return Attempt(
             work=work,
@@ -274,12 +294,11 @@
             transit=choice.transit,
             queued=queued,
             started=now,
+            warms=first,
         )
 
     def _learn(self, attempt: Attempt, now: float) -> None:
         work, target = attempt.work, attempt.target
-        if work.key is not None and target.warmth.add(work.key):
-            self.loads.warmed(target.number, work.key)
         if attempt.queued:
             return
         seconds = max(0.0, now - attempt.started - attempt.transit)
--- a/briarspur/gateway/sync.py
+++ b/briarspur/gateway/sync.py
@@ -19,6 +19,10 @@
 2.5 s of its acknowledgement, also one made just when the store is back."""
 
 
+class _DoubtError(Exception):
+    """The call was given up because the store may be silent."""
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """How often the store is asked; seconds.
@@ -68,6 +72,10 @@
         self._lost_at: float | None = None
         self.current_at = float("-inf")
         self.paused = False
+        self._call: asyncio.Task[Batch] | None = None
+        self.answered_calls = 0
+        self.failed_calls = 0
+        self._doubted = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -78,7 +86,9 @@
                 listing = self.replica.revision == 0
                 continue
             try:
-                batch = await self._next(listing)
+                batch = await self._interruptible(listing)
+            except _DoubtError:
+                continue
             except HistoryGoneError:
                 logs.event("history-gone", kind=self.replica.kind.name)
                 listing = True
@@ -99,20 +109,51 @@
         if news:
             self._on_changes(self.replica.kind, news)
 
+    def doubt(self) -> None:
+        """Ask the store again at once instead of waiting for a watch that may hang.
+
+        A store that falls silent answers no open watch, also not when it is back: a change made
+        then would be learnt only when the watch times out, seconds late. Another kind's failure is
+        the first sign, so every other watch is given up and asked again until one is answered.
+        """
+        if not self._doubted and self._failures == 0:
+            self._doubted = True
+            if self._call is not None:
+                self._call.cancel()
+
+    async def _interruptible(self, listing: bool) -> Batch:
+        """Make the next call; it may be given up by :meth:`doubt`."""
+        self._call = asyncio.ensure_future(self._next(listing))
+        try:
+            return await self._call
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if not self._call.cancelled() or (task is not None and task.cancelling()):
+                self._call.cancel()
+                raise
+            raise _DoubtError from None
+        finally:
+            self._call = None
+
     async def _next(self, listing: bool) -> Batch:
         if listing:
             return await self._source.list(self.replica.kind)
-        return await self._source.watch(self.replica.kind, self.replica.revision, self._pace.wait)
+        # While the store is in doubt a watch must not wait: it would hide whether it answers.
+        wait = 0.0 if self._doubted or self._failures else self._pace.wait
+        return await self._source.watch(self.replica.kind, self.replica.revision, wait)
 
     def _failed(self, error: StoreError) -> None:
         self._failures += 1
+        self.failed_calls += 1
         if self._lost_at is None:
             self._lost_at = self._clock()
             logs.event("store-lost", logging.WARNING, kind=self.replica.kind.name, error=str(error))
         self._on_reachable(self.replica.kind, False)
 
     def _succeeded(self) -> None:
+        self.answered_calls += 1
         self._failures = 0
+        self._doubted = False
         self.current_at = self._clock()
         if self._lost_at is not None:
             away = self._clock() - self._lost_at
--- a/briarspur/gateway/target.py
+++ b/briarspur/gateway/target.py
@@ -39,6 +39,8 @@
         Mean ratio of the time it takes to the time that is expected.
     trouble : float
         Share of its latest answers that were rejections or could not be used.
+    invited_at : float
+        When this entry last sent it an object only to make it warm there.
     cold_until : float
         When it stops being cold, on this entry's clock.
     """
@@ -51,6 +53,7 @@
         "elsewhere",
         "gone",
         "in_flight",
+        "invited_at",
         "number",
         "region",
         "registration",
@@ -70,6 +73,7 @@
         self.speed = 1.0
         self.gone = False
         self.trouble = 0.0
+        self.invited_at = float("-inf")
         self.cold_until = now + registration.cold_s
         self.cold_rate: TokenBucket | None = None
         self._speed_at = now
--- a/briarspur/gateway/transit.py
+++ b/briarspur/gateway/transit.py
@@ -13,6 +13,14 @@
 and the rest is waiting at either end."""
 
 
+ZONE_BYTE = 0.5e-6
+REGION_BYTE = 1.0e-6
+"""Seconds counted for each byte that leaves the availability zone or the region. A link between
+regions carries 175 Mbit/s for all traffic together, and bytes on it are paid for: a chart pack of
+90 kB counts as 90 ms, so it is fetched near unless the near servers are busier than that; an answer
+of 400 bytes goes anywhere."""
+
+
 class TransitTimes:
     """Seconds there and back, by zone."""
 
@@ -30,6 +38,12 @@
             return SAME_ZONE
         return SAME_REGION if target.region == self._region else OTHER_REGION
 
+    def byte_cost(self, target: Target) -> float:
+        """Return the seconds that are counted for each byte of an answer."""
+        if target.registration.zone == self._zone:
+            return 0.0
+        return ZONE_BYTE if target.region == self._region else REGION_BYTE
+
     def connected(self, target: Target, seconds: float) -> None:
         """Take the time of one connect, which is one way there and back."""
         zone = target.registration.zone
--- a/briarspur/gateway/warmth.py
+++ b/briarspur/gateway/warmth.py
@@ -24,6 +24,9 @@
     def __init__(self) -> None:
         self._seen: OrderedDict[int, None] = OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._seen)
+
     def __contains__(self, key: int) -> bool:
         return key in self._seen
 
@@ -38,6 +41,10 @@
             self._seen.move_to_end(key)
         return new
 
+    def discard(self, key: int) -> None:
+        """Forget an object whose request was not run after all."""
+        self._seen.pop(key, None)
+
     def clear(self) -> None:
         """Forget everything, as the server has."""
         self._seen.clear()
--- a/briarspur/gateway/worktime.py
+++ b/briarspur/gateway/worktime.py
@@ -16,15 +16,20 @@
 
 @dataclass(slots=True)
 class RouteWork:
-    """Mean working times of one route's requests, in seconds."""
+    """Means of one route's requests: working times in seconds, size of an answer in bytes."""
 
     warm: float
     cold: float
+    size: float = 0.0
 
     def expected(self, warm: bool) -> float:
         """Return the mean for an object that is warm at the server, or is not."""
         return self.warm if warm else self.cold
 
+    def learn_size(self, size: int) -> None:
+        """Take the size of one answer."""
+        self.size += WEIGHT * (size - self.size)
+
     def learn(self, seconds: float, warm: bool) -> None:
         """Take the time of one request that did not wait."""
         if warm:
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -7,6 +7,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from briarspur.logsink import BoundedSink
+
 __all__ = ["EVENTS", "configure", "event"]
 
 LOGGER = logging.getLogger("briarspur")
@@ -55,8 +57,11 @@
     "news-malformed": "a datagram was not news of an entry",
     "news-not-sent": "a datagram could not be sent",
     "reloaded": "SIGHUP came; requests and connections go on",
-    "attempt-failed": "an attempt at a backend server did not bring an answer",
-    "request-ended": "a request got a final answer of our own",
+    "attempt": "a request is sent to a backend server, with what the choice rested on",
+    "attempt-ended": "how an attempt at a backend server ended",
+    "answered": "a request got a backend server's whole answer",
+    "log-sampling": "from now on the lines of one in so many answered requests are written",
+    "log-lines-dropped": "so many lines were lost because nobody read them",
     "invariant-violated": "a property that must always hold did not hold",
     "internal-error": "a fault of briarspur",
 }
@@ -78,8 +83,9 @@
 
 
 def configure(level: str = "INFO") -> None:
-    """Send events of ``level`` and above to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send events of ``level`` and above to standard output, never waiting for its reader."""
+    sink = BoundedSink(sys.stdout.fileno())
+    handler = logging.StreamHandler(sink)
     formatter = JsonFormatter(
         "{asctime}{levelname}{message}",
         style="{",
@@ -89,6 +95,8 @@
     formatter.default_msec_format = "%s.%03d"
     handler.setFormatter(formatter)
     LOGGER.handlers[:] = [handler]
+    # The current stack frame is looked up for each line otherwise, a third of a line's cost.
+    logging._srcfile = None
     LOGGER.setLevel(level)
     LOGGER.propagate = False
 
--- a/briarspur/platform/__main__.py
+++ b/briarspur/platform/__main__.py
@@ -47,9 +47,9 @@
         """Return an entry's record as it is stored."""
         return documents.encode_entry(record)
 
-    def lookup_region(self, query: bytes) -> str:
-        """Return the region that a look-up comes from."""
-        return lookup.region_of(query)
+    def lookup_place(self, query: bytes) -> tuple[str, str]:
+        """Return region and availability zone that a look-up comes from."""
+        return lookup.place_of(query)
 
     def lookup_body(self, entries: Iterable[EntryRecord], lifetime: float) -> bytes:
         """Return the answer to a look-up."""
--- a/briarspur/platform/lookup.py
+++ b/briarspur/platform/lookup.py
@@ -6,16 +6,16 @@
 
 from briarspur.gateway.entryrecord import EntryRecord
 
-__all__ = ["LOOKUP_PATH", "READY_PATH", "lookup_body", "region_of"]
+__all__ = ["LOOKUP_PATH", "READY_PATH", "lookup_body", "place_of"]
 
 LOOKUP_PATH = b"/resolve"
 READY_PATH = b"/ready"
 
 
-def region_of(query: bytes) -> str:
-    """Return the region that a look-up comes from; empty if it does not say."""
-    values = parse_qs(query.decode("latin-1")).get("region")
-    return values[0] if values else ""
+def place_of(query: bytes) -> tuple[str, str]:
+    """Return region and availability zone that a look-up comes from; empty if it does not say."""
+    values = parse_qs(query.decode("latin-1"))
+    return values.get("region", [""])[0], values.get("zone", [""])[0]
 
 
 def lookup_body(entries: Iterable[EntryRecord], lifetime: float) -> bytes:
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/tests/gateway/test_fleet.py
@@ -0,0 +1,71 @@
+"""Tests of who is named to callers."""
+
+import unittest
+
+from briarspur.gateway.entryrecord import EntryRecord
+from briarspur.gateway.fleet import SILENT, Fleet
+from briarspur.gateway.loadview import News
+
+
+def record(entry_id: str, zone: str = "a-1", region: str = "a", started: int = 1) -> EntryRecord:
+    return EntryRecord(entry_id, started, "127.0.0.1", zone, region, 80, 81, 82)
+
+
+def alive(entry_id: str, started: int = 1, leaving: bool = False) -> News:
+    return News(entry_id, started, 1, leaving, {})
+
+
+class FleetTest(unittest.TestCase):
+    """Callers are sent to entries that live."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(record("me"))
+
+    def named(self, region: str = "a", zone: str = "a-1", now: float = 0.0) -> list[str]:
+        return [entry.entry_id for entry in self.fleet.for_caller(region, zone, now)]
+
+    def test_a_killed_entry_is_named_no_more(self) -> None:
+        """An entry loses power; its record stays in the store, since nothing there expires.
+
+        Callers that were sent to it waited a second for each connection.
+        """
+        self.fleet.recorded(record("other"))
+        self.assertEqual(["me"], self.named())
+        self.fleet.heard(alive("other"), 0.0)
+        self.assertEqual(["me", "other"], self.named(now=SILENT - 0.1))
+        self.assertEqual(["me"], self.named(now=SILENT + 0.1))
+
+    def test_a_leaving_entry_is_named_no_more(self) -> None:
+        self.fleet.recorded(record("other"))
+        self.fleet.heard(alive("other"), 0.0)
+        self.fleet.heard(alive("other", leaving=True), 0.1)
+        self.assertEqual(["me"], self.named(now=0.1))
+        self.fleet.heard(alive("other", started=2), 0.2)
+        self.assertEqual(["me", "other"], self.named(now=0.2))
+
+    def test_one_that_leaves_names_the_others(self) -> None:
+        self.fleet.recorded(record("other"))
+        self.fleet.leaving = True
+        self.assertEqual(["me"], self.named())
+        self.fleet.heard(alive("other"), 0.0)
+        self.assertEqual(["other"], self.named())
+
+    def test_callers_stay_in_their_region_and_zone(self) -> None:
+        for entry in (
+            record("z1"),
+            record("z2", "a-2"),
+            record("z3", "a-2"),
+            record("b", "b-1", "b"),
+        ):
+            self.fleet.recorded(entry)
+            self.fleet.heard(alive(entry.entry_id), 0.0)
+        self.assertEqual(["me", "z1"], self.named("a", "a-1"))
+        self.assertEqual(["z2", "z3"], self.named("a", "a-2"))
+        self.assertEqual(["b"], self.named("b", "b-1"))
+        self.assertEqual(["b", "me", "z1", "z2", "z3"], self.named("c", "c-1"))
+
+    def test_a_zone_with_few_entries_shares_its_regions(self) -> None:
+        for entry in (record("z1"), record("z2"), record("z3", "a-2")):
+            self.fleet.recorded(entry)
+            self.fleet.heard(alive(entry.entry_id), 0.0)
+        self.assertEqual(["me", "z1", "z2", "z3"], self.named("a", "a-2"))
--- /dev/null
+++ b/tests/gateway/test_limits.py
@@ -0,0 +1,82 @@
+"""Tests of what all entries together may do: cold servers, retries, failing servers."""
+
+import unittest
+from collections import defaultdict
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from briarspur.gateway.breaker import FIRST_PAUSE, Breaker
+from briarspur.gateway.coldstart import cold_bucket
+from briarspur.gateway.retrybudget import RetryBudget
+
+FIXED = settings(derandomize=True, deadline=None, database=None)
+
+
+class ColdRateTest(unittest.TestCase):
+    """A cold server gets no more than it bears, from all entries together."""
+
+    @FIXED
+    @given(st.integers(1, 120), st.sampled_from([2.0, 11.0, 40.0]))
+    def test_any_second_stays_within_the_rate_and_its_slack(self, fleet: int, rate: float) -> None:
+        """Ninety entries each let a first request through to a server that has just started.
+
+        It crashed at once, came back cold, and crashed again.
+        """
+        entries = [f"entry-{n}" for n in range(fleet)]
+        made = [cold_bucket(entry, entries, "t-1", rate, 0.0) for entry in entries]
+        buckets = [bucket for bucket in made if bucket is not None]
+        self.assertTrue(buckets)
+        by_second: dict[int, int] = defaultdict(int)
+        times: list[float] = []
+        for step in range(300):
+            now = step * 0.01
+            for bucket in buckets:
+                while bucket.take(now):
+                    times.append(now)
+                    by_second[int(now)] += 1
+        busiest = max(sum(t <= u < t + 1.0 for u in times) for t in times)
+        self.assertLessEqual(busiest, 1.5 * rate + 5.0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """The retries of all entries keep to one limit."""
+
+    @FIXED
+    @given(st.integers(1, 40), st.integers(0, 400))
+    def test_shares_add_up(self, fleet: int, requests: int) -> None:
+        budgets = [RetryBudget(0.2, 10.0, 60.0) for _ in range(fleet)]
+        for number in range(requests):
+            budgets[number % fleet].request_arrived(number * 0.001)
+        taken = sum(sum(b.take(1.0, fleet) for _ in range(500)) for b in budgets)
+        self.assertLessEqual(taken, 0.2 * requests + 60.0)
+
+    def test_the_window_slides(self) -> None:
+        budget = RetryBudget(0.0, 10.0, 5.0)
+        self.assertEqual(4, sum(budget.take(0.0, 1) for _ in range(10)))
+        self.assertFalse(budget.take(9.9, 1))
+        self.assertTrue(budget.take(10.1, 1))
+
+
+class BreakerTest(unittest.TestCase):
+    """One request at a time finds out whether a server is back."""
+
+    def test_one_trial_after_the_pause(self) -> None:
+        breaker = Breaker()
+        breaker.failed(0.0)
+        self.assertFalse(breaker.allows(FIRST_PAUSE - 0.01))
+        self.assertTrue(breaker.allows(FIRST_PAUSE + 0.01))
+        breaker.sent()
+        self.assertFalse(breaker.allows(FIRST_PAUSE + 0.02))
+        breaker.failed(FIRST_PAUSE + 0.05)
+        self.assertFalse(breaker.allows(2 * FIRST_PAUSE + 0.04))
+        self.assertTrue(breaker.allows(3 * FIRST_PAUSE + 0.06))
+        breaker.sent()
+        breaker.succeeded()
+        self.assertTrue(breaker.allows(3 * FIRST_PAUSE + 0.07))
+
+    def test_failures_of_requests_sent_together_count_once(self) -> None:
+        breaker = Breaker()
+        for _ in range(10):
+            breaker.failed(0.0)
+        self.assertTrue(breaker.allows(FIRST_PAUSE + 0.01))
--- /dev/null
+++ b/tests/gateway/test_sync.py
@@ -0,0 +1,117 @@
+"""Tests of following the store."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Any
+
+from briarspur.coord.errors import StoreUnavailableError
+from briarspur.gateway.objectsource import HistoryGoneError
+from briarspur.gateway.replica import Batch, Kind, Replica, StoredChange
+from briarspur.gateway.sync import Pace, Sync
+from tests.loop import LoopTestCase, eventually
+
+
+class FakeSource:
+    """A store whose calls are answered by the test, in order."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, float]] = []
+        self.answers: asyncio.Queue[Batch | Exception] = asyncio.Queue()
+
+    async def list(self, kind: Kind) -> Batch:
+        self.calls.append(("list", 0.0))
+        return await self._answer()
+
+    async def watch(self, kind: Kind, revision: int, wait: float) -> Batch:
+        self.calls.append(("watch", wait))
+        return await self._answer()
+
+    async def write(self, kind: Kind, name: str, value: dict[str, Any]) -> None:
+        raise NotImplementedError
+
+    async def delete(self, kind: Kind, name: str, revision: int) -> None:
+        raise NotImplementedError
+
+    async def _answer(self) -> Batch:
+        answer = await self.answers.get()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class SyncTest(LoopTestCase):
+    """What a replica learns, and when."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.changes: list[StoredChange] = []
+        self.reachable: list[bool] = []
+
+    def make(self, source: FakeSource) -> Sync:
+        def take(kind: Kind, changes: Sequence[StoredChange]) -> None:
+            self.changes.extend(changes)
+
+        return Sync(
+            source,
+            Replica(Kind.CONFIGURATION),
+            Pace(wait=4.0, pause=0.0),
+            random.Random(1),
+            take,
+            lambda kind, reachable: self.reachable.append(reachable),
+            asyncio.get_running_loop().time,
+        )
+
+    def test_a_hanging_watch_is_given_up_when_the_store_is_doubted(self) -> None:
+        """The store is silent for some seconds, returns, and the configuration changes.
+
+        A watch sent before the outage is never answered. Entries learnt the new version only when
+        that watch timed out, 2.6 s after its acknowledgement, and routed by the old one till then.
+        """
+
+        async def work() -> None:
+            source = FakeSource()
+            sync = self.make(source)
+            task = asyncio.ensure_future(sync.run())
+            source.answers.put_nowait(Batch(5, (StoredChange("main", 4, {"version": 1}),), True))
+            await eventually(lambda: len(source.calls) == 2)
+            self.assertEqual(("watch", 4.0), source.calls[1])
+            sync.doubt()
+            await eventually(lambda: len(source.calls) == 3)
+            self.assertEqual(("watch", 0.0), source.calls[2])
+            source.answers.put_nowait(Batch(9, (StoredChange("main", 9, {"version": 2}),)))
+            await eventually(lambda: len(source.calls) == 4)
+            self.assertEqual(("watch", 4.0), source.calls[3])
+            self.assertEqual([1, 2], [c.value["version"] for c in self.changes if c.value])
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            self.assertTrue(task.cancelled())
+
+        self.run_on_loop(work())
+
+    def test_everything_is_listed_again_after_the_history_is_gone(self) -> None:
+        async def work() -> None:
+            source = FakeSource()
+            task = asyncio.ensure_future(self.make(source).run())
+            source.answers.put_nowait(Batch(5, (StoredChange("a", 4, {}),), True))
+            source.answers.put_nowait(HistoryGoneError("gone"))
+            source.answers.put_nowait(Batch(8, (StoredChange("b", 7, {}),), True))
+            await eventually(lambda: len(source.calls) == 4)
+            self.assertEqual(["list", "watch", "list", "watch"], [name for name, _ in source.calls])
+            seen = [(change.name, change.value is None) for change in self.changes]
+            self.assertEqual([("a", False), ("b", False), ("a", True)], seen)
+            task.cancel()
+
+        self.run_on_loop(work())
+
+    def test_an_outage_is_told_and_its_end_too(self) -> None:
+        async def work() -> None:
+            source = FakeSource()
+            task = asyncio.ensure_future(self.make(source).run())
+            source.answers.put_nowait(StoreUnavailableError("down"))
+            source.answers.put_nowait(Batch(5, (), True))
+            await eventually(lambda: len(self.reachable) == 2)
+            self.assertEqual([False, True], self.reachable)
+            task.cancel()
+
+        self.run_on_loop(work())
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform package."""
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -20,6 +20,7 @@
 from briarspur import settings  # noqa: E402
 from briarspur.codes import CODES  # noqa: E402
 from briarspur.exits import EXIT_MEANINGS  # noqa: E402
+from briarspur.gateway.exposition import GATEWAY_METRICS  # noqa: E402
 from briarspur.logs import EVENTS  # noqa: E402
 from briarspur.metrics import METRICS  # noqa: E402
 from briarspur.policy import PolicyDocument  # noqa: E402
@@ -102,12 +103,18 @@
         "and, where the meaning says `by`, a label, with points between.",
     ]
     rows = [(f"`{name}`", meaning) for name, meaning in sorted(METRICS.items())]
-    return _page("Metrics", intro, _table(("metric", "type and meaning"), rows))
+    gateway = [
+        "A gateway serves its own at `/metrics` of its ready and look-up addresses, in the text form "
+        "that scrapers read, each with the prefix `briarspur_`.",
+    ]
+    served = [(f"`{name}`", meaning) for name, meaning in sorted(GATEWAY_METRICS.items())]
+    head = ("metric", "type and meaning")
+    return _page("Metrics", intro, _table(head, rows), gateway, _table(head, served))
 
 
 def events_page() -> str:
     """Return ``docs/LOG-EVENTS.md``."""
-    intro = ["One line of key=value pairs an event, on standard error; `event` is the name."]
+    intro = ["One line of key=value pairs an event, on standard output; `event` is the name."]
     rows = [(f"`{name}`", meaning) for name, meaning in sorted(EVENTS.items())]
     return _page("Log events", intro, _table(("event", "meaning"), rows))
 
