--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: demo up test bench soak experiment capacity format generate
+.PHONY: demo up test bench soak faultsoak experiment capacity format generate
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -38,3 +38,6 @@
 generate:
 	$(PYTHON) -m pip install --quiet -e '.[generate]'
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --plugin=protoc-gen-grpclib_python=$(VENV)/bin/protoc-gen-grpclib_python --grpclib_python_out=. briarspur/peer.proto briarspur/gateway/gateway.proto
+
+faultsoak: $(VENV)/.installed
+	$(PYTHON) tools/faultsoak.py --seed $(or $(SEED),1) --runs $(or $(RUNS),50)
--- a/briarspur/cli.py
+++ b/briarspur/cli.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 import cappa
@@ -18,6 +18,7 @@
 from briarspur.planview import read_plan
 from briarspur.policy import TargetState, compile_policy, parse_policy
 from briarspur.porcelain import Accepted, Race, Refused
+from briarspur.trace import read_story, story_text
 
 __all__ = ["Briarspur", "main"]
 
@@ -266,8 +267,36 @@
         return _accepted_or_not(context, result)
 
 
+@cappa.command(epilog="Example: `briarspur trace 9c41d07be2a35f68 entry-*.log`")
+@dataclass
+class Trace:
+    """Tell the story of one request from log files, or from standard input."""
+
+    request: str
+    files: Annotated[list[str], cappa.Arg(default=[])] = field(default_factory=list)
+
+    async def run(self, context: Context) -> ExitCode:
+        """Print what the processes did with the request, in order, with the gaps."""
+        texts = [read_file(name).decode("utf-8", "replace") for name in self.files or ["-"]]
+        lines = [line for text in texts for line in text.splitlines()]
+        story = read_story(self.request, lines)
+        show(context, story, story_text)
+        return ExitCode.OK if story.lines else ExitCode.REFUSED
+
+
 Verb = (
-    Check | Diff | Apply | Show | Status | Drain | Undrain | Lookup | Explain | History | Rollback
+    Check
+    | Diff
+    | Apply
+    | Show
+    | Status
+    | Drain
+    | Undrain
+    | Lookup
+    | Explain
+    | History
+    | Rollback
+    | Trace
 )
 
 
--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -144,6 +144,9 @@
         for address in {self.settings.ready_address, self.settings.lookup_address}:
             if address and address != self.settings.caller_address:
                 self._listen(address, PageFactory(pages))
+        if self.settings.metrics_port:
+            address = f"{self.settings.host}:{self.settings.metrics_port}"
+            self._listen(address, PageFactory(pages))
         if self.me.news_port:
             self._ports.append(
                 self._reactor.listenUDP(self.me.news_port, self.news_port, self.settings.host)
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -24,6 +24,12 @@
 
 SHORTEST_TRY = 0.02
 """Seconds; a request with less time left is not sent, since no answer could come back in time."""
+SAFETY = 1.0
+"""A request is sent if 1.3 times its expected wait and work fit into the time left: work varies by
+15 % around its mean, and what passes its timeout at the server is wasted."""
+LEAST_WAIT = 1.0
+"""Share of a route's goal that a request may wait in any case; a cold one misses its goal anyway,
+but makes the server warm for those that follow."""
 HEDGE_FACTOR = 3.0
 HEDGE_SLACK = 0.15
 """A repeatable request that has taken three times as long as expected, and 150 ms more, is sent to
@@ -203,7 +209,7 @@
         choice = self._chooser.choose(wish, targets, self.targets.epoch, now)
         if choice is None:
             return Refused(Code.OVERLOADED, self._retry_after(work))
-        if now + choice.finish > work.deadline:
+        if not self._is_worthwhile(work, choice, now):
             return Refused(Code.OVERLOADED, self._retry_after(work), f"{choice.finish:.3f} s")
         return self._send(work, choice, now)
 
@@ -309,6 +315,21 @@
             times.learn(seconds, attempt.warm)
             self.times.learn_mean(work.service, seconds)
 
+    def _is_worthwhile(self, work: Work, choice: Choice, now: float) -> bool:
+        """Tell whether a request sent now would bring its caller a useful answer.
+
+        Under more load than the servers bear, every request that waits beyond its goal takes the
+        slot of one that could have met it, and one that meets its timeout at the server wastes what
+        was done for it: after all entries had restarted, 60 % of the answers were late for as long
+        as the load lasted. So the wait is bounded by what the goal leaves, and who can't be
+        answered in it is refused at once, with a time to come back.
+        """
+        left = work.deadline - now
+        if choice.transit + SAFETY * (choice.wait + choice.work) > left:
+            return False
+        goal = work.route.goal
+        return choice.wait <= max(goal - choice.transit - choice.work, LEAST_WAIT * goal)
+
     def _prepare_cold(self, work: Work, targets: list[Target], now: float) -> None:
         """Give each cold target of a service this entry's part of its rate."""
         assert self.configuration is not None
--- /dev/null
+++ b/standins/bodies.py
@@ -0,0 +1,33 @@
+"""JSON bodies for Twisted's client."""
+
+import json
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+__all__ = ["JsonBody"]
+
+
+@implementer(IBodyProducer)
+class JsonBody:
+    """A document as a request's body."""
+
+    def __init__(self, document: object) -> None:
+        self._body = json.dumps(document).encode()
+        self.length = len(self._body)
+
+    def startProducing(self, consumer: Any) -> "Deferred[None]":  # noqa: N802
+        """Write the whole body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: all is written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: all is written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: all is written."""
--- /dev/null
+++ b/standins/livetarget.py
@@ -0,0 +1,183 @@
+"""Backend servers of the platform's protocol: one process, some targets, a ledger of runs."""
+
+import argparse
+import json
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TextIO, cast
+
+from twisted.web.client import Agent, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from standins import serving
+from standins.bodies import JsonBody
+
+__all__ = ["LiveTarget", "main"]
+
+BEAT = 0.5
+QUEUE_SHARE = 2
+
+
+@dataclass(eq=False)
+class LiveTarget(Resource):
+    """One backend server that registers itself and writes down what it runs."""
+
+    target_id: str
+    service: str
+    zone: str
+    advertised: str
+    ledger: TextIO
+    slots: int = 4
+    work_s: float = 0.05
+    draining: bool = False
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    sequence: int = 0
+    isLeaf = True  # noqa: N815
+
+    def __post_init__(self) -> None:
+        Resource.__init__(self)
+        self._running: dict[Request, Any] = {}
+        self._queue: list[Request] = []
+
+    def spec(self) -> dict[str, Any]:
+        """Return the registration."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.advertised,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.draining else "ready",
+            "warmupLeftMs": 0,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+
+    def render(self, request: Request) -> int:
+        """Run a request, queue it, or turn it away."""
+        expected = request.getHeader(b"x-expected-instance")
+        if expected is not None and expected != self.target_id.encode():
+            _answer(request, 421, {b"X-Instance-Id": self.target_id.encode()})
+        elif len(self._queue) >= QUEUE_SHARE * self.slots:
+            _answer(request, 503, {b"X-Not-Executed": b"1"})
+        else:
+            request.notifyFinish().addBoth(self._gone, request)
+            self._queue.append(request)
+            self._next()
+        return NOT_DONE_YET
+
+    def _next(self) -> None:
+        while self._queue and len(self._running) < self.slots:
+            request = self._queue.pop(0)
+            request_id = (request.getHeader(b"x-request-id") or b"").decode()
+            self._note(request_id)
+            self._running[request] = _reactor().callLater(self.work_s, self._done, request)
+
+    def _note(self, request_id: str) -> None:
+        row = {"id": request_id, "target": self.target_id, "at": time.time()}
+        self.ledger.write(json.dumps(row) + "\n")
+        self.ledger.flush()
+
+    def _done(self, request: Request) -> None:
+        self._running.pop(request, None)
+        request_id = request.getHeader(b"x-request-id") or b""
+        headers = {b"X-Response-Signature": b"s-" + request_id, b"X-Request-Id": request_id}
+        _answer(request, 200, headers, b"body of %b by %b" % (request_id, self.service.encode()))
+        self._next()
+
+    def _gone(self, _: object, request: Request) -> None:
+        if request in self._queue:
+            self._queue.remove(request)
+        timer = self._running.pop(request, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+        self._next()
+
+
+class Registrar:
+    """Writes the registrations to the store, time and again."""
+
+    def __init__(self, store: str, targets: list[LiveTarget]) -> None:
+        self._agent = Agent(_reactor(), connectTimeout=1.0)
+        self._base = f"http://{store}/objects/servers"
+        self._targets = targets
+
+    def beat(self) -> None:
+        """Renew every registration, and again after a while."""
+        _reactor().callLater(BEAT, self.beat)
+        for target in self._targets:
+            body = {"metadata": {"name": target.target_id}, "spec": target.spec(), "status": None}
+            self._call(b"PUT", f"/{target.target_id}", body, self._missing(body))
+
+    def _missing(self, body: dict[str, Any]) -> Callable[[Any], Any]:
+        def check(response: Any) -> Any:
+            if response.code == 404:
+                self._call(b"POST", "", body, lambda answer: readBody(answer))
+            return readBody(response)
+
+        return check
+
+    def _call(self, method: bytes, path: str, body: Any, then: Callable[[Any], Any]) -> None:
+        url = (self._base + path).encode()
+        headers = Headers({b"Content-Type": [b"application/json"]})
+        sent = self._agent.request(method, url, headers, cast(IBodyProducer, JsonBody(body)))
+        sent.addCallback(then)
+        # A store that is away is part of the trial; the next beat tries again.
+        sent.addErrback(lambda failure: None)
+
+
+def _answer(request: Request, status: int, headers: dict[bytes, bytes], body: bytes = b"") -> None:
+    request.setResponseCode(status)
+    for name, value in headers.items():
+        request.setHeader(name, value)
+    request.setHeader(b"content-length", b"%d" % len(body))
+    request.write(body)
+    request.finish()
+
+
+def _reactor() -> Any:
+    from twisted.internet import reactor
+
+    return reactor
+
+
+def main() -> None:
+    """Serve the targets of a settings file until the end."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--settings", required=True)
+    path = Path(parser.parse_args().settings)
+    settings = json.loads(path.read_text())
+    targets: list[LiveTarget] = []
+
+    def reload(*_: object) -> None:
+        draining = {
+            item["id"]: item["draining"] for item in json.loads(path.read_text())["targets"]
+        }
+        for target in targets:
+            target.draining = draining[target.target_id]
+
+    def start() -> None:
+        ledger = Path(settings["ledger"]).open("a", encoding="utf-8")  # noqa: SIM115
+        signal.signal(signal.SIGHUP, reload)
+        for item in settings["targets"]:
+            target = LiveTarget(
+                item["id"], item["service"], item["zone"], item["advertised"], ledger
+            )
+            target.work_s = item.get("work_s", target.work_s)
+            target.draining = item["draining"]
+            _reactor().listenTCP(item["port"], Site(target), interface=item["host"])
+            targets.append(target)
+        Registrar(settings["store"], targets).beat()
+
+    serving.run(start)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/objectapi.py
@@ -0,0 +1,362 @@
+"""A stand-in for the platform's store, by its published protocol, in memory."""
+
+import argparse
+import json
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any, Literal, cast
+from urllib.parse import unquote
+
+from pydantic import Field
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from briarspur.documents import Document
+from standins import serving
+from standins.objectstate import Rate
+
+__all__ = ["ObjectApi", "ObjectSwitches", "Objects", "main"]
+
+PAGE = 50
+HISTORY = 2_000
+OBJECTS = "objects"
+
+
+class ObjectSwitches(Document):
+    """What ``POST /control`` may set."""
+
+    outage: Literal["none", "busy", "reset", "silent"] = "none"
+    only_hosts: list[str] = Field(default=[], description="callers that the outage is for; all")
+    slow_s: float = Field(default=0.0, ge=0.0)
+    lose_answers: int = Field(default=0, ge=0, description="next writes done and not answered")
+    late_s: float = Field(default=0.0, ge=0.0, description="lost writes are done so much later")
+    reads_per_s: float = Field(default=2_000.0, gt=0.0)
+    writes_per_s: float = Field(default=400.0, gt=0.0)
+
+
+class CallError(Exception):
+    """A call that is answered with a status of its own."""
+
+    def __init__(self, status: int, body: object = None) -> None:
+        super().__init__(status)
+        self.status = status
+        self.body = body if body is not None else {"error": status}
+
+
+@dataclass(slots=True)
+class Objects:
+    """Objects by kind and name, and the latest changes."""
+
+    revision: int = 1
+    by_kind: dict[str, dict[str, dict[str, Any]]] = field(default_factory=lambda: defaultdict(dict))
+    changes: list[tuple[int, str, bool, dict[str, Any]]] = field(default_factory=list)
+    forgotten: int = 0
+
+    def page(self, kind: str, after: str) -> dict[str, Any]:
+        """Return a page of a kind's objects."""
+        names = sorted(name for name in self.by_kind[kind] if name > after)
+        return {
+            "items": [self.by_kind[kind][name] for name in names[:PAGE]],
+            "hasMore": len(names) > PAGE,
+            "storeRevision": self.revision,
+        }
+
+    def get(self, kind: str, name: str) -> dict[str, Any]:
+        """Return an object."""
+        found = self.by_kind[kind].get(name)
+        if found is None:
+            raise CallError(404)
+        return found
+
+    def events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        """Return a kind's changes after a revision."""
+        if since < self.forgotten:
+            raise CallError(410)
+        return [
+            {"deleted": deleted, "object": item}
+            for revision, changed, deleted, item in self.changes
+            if changed == kind and revision > since
+        ]
+
+    def create(self, kind: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Create an object."""
+        name = body.get("metadata", {}).get("name")
+        if not isinstance(name, str) or not name:
+            raise CallError(400)
+        if name in self.by_kind[kind]:
+            raise CallError(409, self.by_kind[kind][name])
+        finalizers = body["metadata"].get("finalizers", [])
+        return self._store(kind, name, body.get("spec"), body.get("status"), finalizers, None)
+
+    def replace(
+        self, kind: str, name: str, body: dict[str, Any], status: bool = False
+    ) -> dict[str, Any]:
+        """Replace the spec and finalizers, or the status, of an object."""
+        old = self.get(kind, name)
+        metadata = body.get("metadata", {})
+        self.check(old, metadata.get("revision"))
+        finalizers = metadata.get("finalizers", old["metadata"]["finalizers"])
+        if status:
+            new = (old["spec"], body.get("status"), old["metadata"]["finalizers"])
+        else:
+            new = (body.get("spec"), old["status"], finalizers)
+        if new == (old["spec"], old["status"], old["metadata"]["finalizers"]):
+            return old
+        stored = self._store(kind, name, *new, old["metadata"])
+        if stored["metadata"]["deletionPending"] and not stored["metadata"]["finalizers"]:
+            self._remove(kind, name)
+        return stored
+
+    def delete(self, kind: str, name: str, revision: int | None) -> None:
+        """Delete an object, or mark it while it has finalizers."""
+        old = self.get(kind, name)
+        self.check(old, revision)
+        if not old["metadata"]["finalizers"]:
+            self._remove(kind, name)
+            return
+        marked = {**old["metadata"], "deletionPending": True}
+        self._store(kind, name, old["spec"], old["status"], marked["finalizers"], marked)
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.changes.clear()
+        self.forgotten = self.revision
+
+    @staticmethod
+    def check(old: dict[str, Any], revision: int | None) -> None:
+        """Refuse a call that expects another revision."""
+        if revision is not None and revision != old["metadata"]["revision"]:
+            raise CallError(409, old)
+
+    def _store(
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        status: Any,
+        finalizers: list[str],
+        old: dict[str, Any] | None,
+    ) -> dict[str, Any]:
+        self.revision += 1
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "created": old["created"] if old else self.revision,
+            "finalizers": finalizers,
+            "deletionPending": bool(old and old["deletionPending"]),
+        }
+        item = {"metadata": metadata, "spec": spec, "status": status}
+        self.by_kind[kind][name] = item
+        self._note(kind, False, item)
+        return item
+
+    def _remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        item = self.by_kind[kind].pop(name)
+        item = {**item, "metadata": {**item["metadata"], "revision": self.revision}}
+        self._note(kind, True, item)
+
+    def _note(self, kind: str, deleted: bool, item: dict[str, Any]) -> None:
+        self.changes.append((self.revision, kind, deleted, item))
+        if len(self.changes) > HISTORY:
+            self.forgotten = self.changes.pop(0)[0]
+
+
+class ObjectApi(Resource):
+    """The HTTP interface; state ends with the process."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.objects = Objects()
+        self.switches = ObjectSwitches()
+        self.calls: dict[str, int] = defaultdict(int)
+        self._rates = {False: Rate(2_000.0), True: Rate(400.0)}
+        self._waiting: dict[Request, tuple[str, int]] = {}
+
+    def render(self, request: Request) -> int:
+        """Answer a call, now or later."""
+        try:
+            self._serve(request)
+        except CallError as error:
+            serving.send_json(request, error.body, error.status)
+        return NOT_DONE_YET
+
+    def control(self, changes: dict[str, Any]) -> None:
+        """Change switches; an outage cuts or silences the watches that wait."""
+        if changes.pop("forget", False):
+            self.objects.forget()
+            self._wake(all_kinds=True)
+        self.switches = ObjectSwitches.model_validate({**self.switches.model_dump(), **changes})
+        per_s_by_kind = {False: self.switches.reads_per_s, True: self.switches.writes_per_s}
+        self._rates = {writes: Rate(per_s, per_s) for writes, per_s in per_s_by_kind.items()}
+        for request in list(self._waiting):
+            if self._is_out(request):
+                del self._waiting[request]
+                if self.switches.outage != "silent":
+                    cast(Any, request.transport).abortConnection()
+
+    def write(self, method: bytes, path: str, body: dict[str, Any]) -> Any:
+        """Make a write as an operator or a backend server would; for tests."""
+        done = self._write(method, path.strip("/").split("/")[1:], body, {})
+        self._wake()
+        return done
+
+    def _serve(self, request: Request) -> None:
+        path = unquote(request.path.decode()).strip("/").split("/")
+        if path == ["control"]:
+            if request.method == b"POST":
+                self.control(json.loads(_content(request)))
+            serving.send_json(request, {"calls": dict(self.calls)})
+            return
+        if path[0] != OBJECTS or len(path) < 2:
+            raise CallError(404)
+        writes = request.method != b"GET"
+        self.calls["writes" if writes else "reads"] += 1
+        self.calls[path[1]] += 1
+        if self._is_out(request):
+            self._refuse(request)
+            return
+        if not self._rates[writes].take(_reactor().seconds()):
+            raise CallError(429)
+        body = _content(request)
+        if self.switches.slow_s:
+            _reactor().callLater(self.switches.slow_s, self._later, request, path[1:], body)
+        else:
+            self._answer(request, path[1:], body)
+
+    def _later(self, request: Request, path: list[str], body: bytes) -> None:
+        try:
+            self._answer(request, path, body)
+        except CallError as error:
+            serving.send_json(request, error.body, error.status)
+
+    def _is_out(self, request: Request) -> bool:
+        if self.switches.outage == "none":
+            return False
+        hosts = self.switches.only_hosts
+        return not hosts or cast(Any, request).getClientAddress().host in hosts
+
+    def _refuse(self, request: Request) -> None:
+        if self.switches.outage == "busy":
+            raise CallError(503)
+        if self.switches.outage == "reset":
+            cast(Any, request.transport).abortConnection()
+
+    def _answer(self, request: Request, path: list[str], body: bytes) -> None:
+        if request.method == b"GET":
+            self._read(request, path)
+            return
+        document = json.loads(body) if body else {}
+        if self.switches.lose_answers:
+            left = self.switches.lose_answers - 1
+            self.switches = self.switches.model_copy(update={"lose_answers": left})
+            _reactor().callLater(
+                self.switches.late_s,
+                self._write_unseen,
+                request.method,
+                path,
+                document,
+                _query(request),
+            )
+            return
+        done = self._write(request.method, path, document, _query(request))
+        self._wake()
+        serving.send_json(request, done)
+
+    def _write_unseen(self, *call: Any) -> None:
+        try:
+            self._write(*call)
+        except CallError:
+            # Nobody hears of it: that is what the switch is for.
+            return
+        self._wake()
+
+    def _write(
+        self, method: bytes, path: list[str], body: dict[str, Any], query: dict[str, str]
+    ) -> Any:
+        kind = path[0]
+        if method == b"POST" and len(path) == 1:
+            return self.objects.create(kind, body)
+        if method == b"PUT" and len(path) == 2:
+            return self.objects.replace(kind, path[1], body)
+        if method == b"PUT" and path[2:] == ["status"]:
+            return self.objects.replace(kind, path[1], body, status=True)
+        if method == b"DELETE" and len(path) == 2:
+            revision = query.get("revision")
+            self.objects.delete(kind, path[1], int(revision) if revision else None)
+            return {}
+        raise CallError(400)
+
+    def _read(self, request: Request, path: list[str]) -> None:
+        query = _query(request)
+        if len(path) == 2:
+            serving.send_json(request, self.objects.get(path[0], path[1]))
+            return
+        if "watch" not in query:
+            serving.send_json(request, self.objects.page(path[0], query.get("after", "")))
+            return
+        since, wait = int(query["watch"]), float(query.get("waitMs", "0")) / 1_000
+        if wait <= 0.0 or self.objects.events(path[0], since):
+            self._send_events(request, path[0], since)
+            return
+        self._waiting[request] = (path[0], since)
+        timer = _reactor().callLater(wait, self._end_wait, request)
+        request.notifyFinish().addBoth(self._gone, request, timer)
+
+    def _end_wait(self, request: Request) -> None:
+        kind, since = self._waiting.pop(request, ("", 0))
+        if kind:
+            self._send_events(request, kind, since)
+
+    def _gone(self, _: object, request: Request, timer: Any) -> None:
+        self._waiting.pop(request, None)
+        if timer.active():
+            timer.cancel()
+
+    def _wake(self, all_kinds: bool = False) -> None:
+        for request, (kind, since) in list(self._waiting.items()):
+            try:
+                due = all_kinds or bool(self.objects.events(kind, since))
+            except CallError:
+                due = True
+            if due:
+                del self._waiting[request]
+                self._send_events(request, kind, since)
+
+    def _send_events(self, request: Request, kind: str, since: int) -> None:
+        try:
+            events = self.objects.events(kind, since)
+        except CallError as error:
+            serving.send_json(request, error.body, error.status)
+            return
+        page = {"events": events, "storeRevision": self.objects.revision}
+        serving.send_json(request, page)
+
+
+def _query(request: Request) -> dict[str, str]:
+    arguments = cast(dict[bytes, list[bytes]], request.args)
+    return {name.decode(): values[-1].decode() for name, values in arguments.items()}
+
+
+def _content(request: Request) -> bytes:
+    return cast(Any, request.content).read()  # type: ignore[no-any-return]
+
+
+def _reactor() -> Any:
+    from twisted.internet import reactor
+
+    return reactor
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--listen", required=True, help="IP number and port")
+    host, _, port = parser.parse_args().listen.rpartition(":")
+    serving.run(lambda: serving.listen(ObjectApi(), host, int(port)))
+
+
+if __name__ == "__main__":
+    main()
