--- a/tools/reference.py
+++ b/tools/reference.py
@@ -20,6 +20,7 @@
 from briarspur import settings  # noqa: E402
 from briarspur.codes import CODES  # noqa: E402
 from briarspur.exits import EXIT_MEANINGS  # noqa: E402
+from briarspur.gateway import settings as gatewaysettings  # noqa: E402
 from briarspur.gateway.exposition import GATEWAY_METRICS  # noqa: E402
 from briarspur.logs import EVENTS  # noqa: E402
 from briarspur.metrics import METRICS  # noqa: E402
@@ -53,9 +54,10 @@
     parts = [
         ["Settings are JSON files. Unknown keys are refused; each fault is named by its path."]
     ]
-    for name in settings.__all__:
-        model = getattr(settings, name)
-        parts.append(_model_part(name, model.model_json_schema(), model))
+    for module in (settings, gatewaysettings):
+        for name in module.__all__:
+            model = getattr(module, name)
+            parts.append(_model_part(name, model.model_json_schema(), model))
     return _page("Settings", *parts)
 
 
