--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -15,7 +15,7 @@
 from briarspur.gateway.configuration import Configuration
 from briarspur.gateway.dialect import Dialect
 from briarspur.gateway.entryrecord import EntryRecord
-from briarspur.gateway.exchange import Exchange, IncomingRequest, Services
+from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.following import Following
 from briarspur.gateway.front import Front, FrontRequest
@@ -29,6 +29,7 @@
 from briarspur.gateway.pull import PullClient, PullServer
 from briarspur.gateway.replica import Kind, Replica, StoredChange
 from briarspur.gateway.requestlog import RequestLog
+from briarspur.gateway.sending import IncomingRequest, Services
 from briarspur.gateway.settings import GatewaySettings
 from briarspur.gateway.steering import Bounds, Refused, Steering
 from briarspur.gateway.sync import Pace, Sync
@@ -101,9 +102,7 @@
         self.pool = ConnectionPool(self._reactor, settings.host)
         connections = int((settings.descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE)
         self.front = Front(self._reactor, self, settings.memory_mb * MB, connections)
-        self._services = Services(
-            self.steering, self.pool, self._reactor, dialect, self.log, self._ended
-        )
+        self._services = Services(self.steering, self.pool, self._reactor, dialect, self.log)
         self.believer = Believer(
             self.steering, self.fleet, codec, self._reactor.seconds, self._configured
         )
@@ -201,7 +200,7 @@
             self.log.refused(arrival.request_id, work, arrival.host, arrival.path, version)
             caller.refuse(work)
             return None
-        exchange = Exchange(self._services, request, work, caller)
+        exchange = Exchange(self._services, request, work, caller, self._ended)
         self.open.add(exchange)
         exchange.start()
         return None if exchange.done else exchange
--- a/briarspur/gateway/connection.py
+++ b/briarspur/gateway/connection.py
@@ -12,24 +12,11 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-__all__ = ["AnswerHead", "AnswerSink", "ConnectionOwner", "Expected", "TargetConnection"]
-
-HEAD_METHOD = b"HEAD"
+from briarspur.backend import AnswerHead
 
+__all__ = ["AnswerSink", "ConnectionOwner", "Expected", "TargetConnection"]
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """Status and headers of an answer.
-
-    Attributes
-    ----------
-    length : int or None
-        Size of the body in bytes, None if it is not known yet.
-    """
-
-    status: int
-    headers: Headers
-    length: int | None
+HEAD_METHOD = b"HEAD"
 
 
 @dataclass(frozen=True, slots=True)
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -1,21 +1,16 @@
 """One caller's request on its way: attempts at backend servers, and the answer back."""
 
-import math
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, Protocol
 
-from twisted.web.http_headers import Headers
-
 from briarspur.attempts import Flow
+from briarspur.backend import AnswerHead
 from briarspur.codes import Code
-from briarspur.gateway.connection import AnswerHead, Expected, TargetConnection
-from briarspur.gateway.dialect import Dialect
 from briarspur.gateway.outcome import Outcome
-from briarspur.gateway.pool import Connecting, ConnectionPool
-from briarspur.gateway.steering import Attempt, Refused, Steering, Work
+from briarspur.gateway.sending import IncomingRequest, Sending, Services
+from briarspur.gateway.steering import Attempt, Refused, Work
 
-__all__ = ["Caller", "Exchange", "ExchangeLog", "IncomingRequest", "Services"]
+__all__ = ["Caller", "Exchange"]
 
 HELD_BYTES = 262_144
 """An answer up to this size is passed on once it is whole, so that one that breaks off can be asked
@@ -24,16 +19,6 @@
 GATEWAY_TIMEOUT = 504
 
 
-@dataclass(frozen=True, slots=True)
-class IncomingRequest:
-    """A request as it came, whole."""
-
-    method: bytes
-    uri: bytes
-    headers: Headers
-    body: bytes
-
-
 class Caller(Protocol):
     """The caller's side of an exchange."""
 
@@ -56,45 +41,6 @@
         """Cut the connection, so that a part can't be taken for the whole."""
 
 
-class ExchangeLog(Protocol):
-    """Who keeps the story of a request."""
-
-    def attempt_started(self, attempt: Attempt, number: int, why: str) -> None:
-        """Note an attempt."""
-
-    def attempt_ended(self, attempt: Attempt, outcome: Outcome, detail: str, now: float) -> None:
-        """Note the end of an attempt."""
-
-    def request_ended(
-        self, work: Work, code: Code, status: int, now: float, detail: str = ""
-    ) -> None:
-        """Note the final answer, with what led to it if it is our own."""
-
-
-class Clock(Protocol):
-    """Monotonic time and delayed calls."""
-
-    def seconds(self) -> float:
-        """Return the time in seconds."""
-
-    def callLater(  # noqa: N802
-        self, delay: float, callable: Callable[..., object], *args: object
-    ) -> Any:
-        """Call after a delay in seconds."""
-
-
-@dataclass(frozen=True, slots=True)
-class Services:
-    """What every exchange of a process uses."""
-
-    steering: Steering
-    pool: ConnectionPool
-    clock: Clock
-    dialect: Dialect
-    log: ExchangeLog
-    ended: Callable[["Exchange"], None]
-
-
 class Exchange:
     """Carries one request until its final answer.
 
@@ -103,12 +49,18 @@
     """
 
     def __init__(
-        self, services: Services, request: IncomingRequest, work: Work, caller: Caller
+        self,
+        services: Services,
+        request: IncomingRequest,
+        work: Work,
+        caller: Caller,
+        on_ended: "Callable[[Exchange], None]",
     ) -> None:
         self._services = services
         self.request = request
         self.work = work
         self._caller = caller
+        self._on_ended = on_ended
         self._sendings: list[Sending] = []
         self._timers: list[Any] = []
         self._streaming: Sending | None = None
@@ -143,12 +95,12 @@
 
     # Events of attempts
 
-    def sending_began(self, sending: "Sending", head: AnswerHead) -> None:
+    def sending_began(self, sending: Sending, head: AnswerHead) -> None:
         """Stream a long answer, as soon as its head is there."""
         if head.length is not None and head.length > HELD_BYTES and not self._decided:
             self._stream(sending)
 
-    def sending_grew(self, sending: "Sending") -> None:
+    def sending_grew(self, sending: Sending) -> None:
         """Stream an answer that turned out to be long, or pass on the next part."""
         if self.done:
             return
@@ -157,7 +109,7 @@
         elif not self._decided and sending.held > HELD_BYTES:
             self._stream(sending)
 
-    def sending_ended(self, sending: "Sending", outcome: Outcome, detail: str) -> None:
+    def sending_ended(self, sending: Sending, outcome: Outcome, detail: str) -> None:
         """Pass the answer on, or decide about another attempt."""
         now = self._services.clock.seconds()
         self._sendings.remove(sending)
@@ -196,7 +148,7 @@
         self._later(attempt.overdue_after, self._overdue, sending)
         sending.start()
 
-    def _overdue(self, sending: "Sending") -> None:
+    def _overdue(self, sending: Sending) -> None:
         if self.done or sending.ended or self._streaming is not None:
             return
         now = self._services.clock.seconds()
@@ -220,7 +172,7 @@
         once = not self.work.route.repeatable
         self._refuse(Refused(Code.DEADLINE_PASSED_AFTER_DISPATCH if once else Code.DEADLINE_PASSED))
 
-    def _deliver(self, sending: "Sending") -> None:
+    def _deliver(self, sending: Sending) -> None:
         assert sending.head is not None
         self._decided = True
         head, body = sending.head, sending.take_body()
@@ -232,7 +184,7 @@
         self._caller.end()
         self._finish(Code.ANSWERED, head.status)
 
-    def _stream(self, sending: "Sending") -> None:
+    def _stream(self, sending: Sending) -> None:
         assert sending.head is not None
         self._streaming = sending
         self._decided = True
@@ -254,7 +206,7 @@
         self._caller.abort()
         self._finish(code, 0)
 
-    def _give_up_others(self, kept: "Sending") -> None:
+    def _give_up_others(self, kept: Sending) -> None:
         for sending in list(self._sendings):
             if sending is not kept:
                 sending.give_up(Outcome.ABANDONED)
@@ -275,154 +227,12 @@
         services = self._services
         now = services.clock.seconds()
         services.log.request_ended(self.work, code, status, now, detail)
-        services.ended(self)
+        self._on_ended(self)
 
     def _later(self, delay: float, call: Callable[..., object], *args: object) -> None:
         self._timers.append(self._services.clock.callLater(max(0.0, delay), call, *args))
 
 
-class Sending:
-    """One attempt on the wire; implements :class:`AnswerSink`."""
-
-    def __init__(self, exchange: Exchange, services: Services, attempt: Attempt) -> None:
-        self._exchange = exchange
-        self._services = services
-        self.attempt = attempt
-        self.head: AnswerHead | None = None
-        self.ended = False
-        self.held = 0
-        self._parts: list[bytes] = []
-        self._connection: TargetConnection | None = None
-        self._connecting: Connecting | None = None
-
-    def start(self) -> None:
-        """Send over a kept connection, or make one."""
-        registration = self.attempt.target.registration
-        address = (registration.host, registration.port)
-        pool = self._services.pool
-        connection = pool.take_idle(address, self.attempt.work.route.repeatable)
-        if connection is not None:
-            self._send(connection)
-            return
-        self._connecting = Connecting(self._connected, self._not_connected)
-        pool.connect(address, self._connecting)
-
-    def give_up(self, outcome: Outcome) -> None:
-        """End the attempt and close its connection, which also ends the server's work."""
-        if self.ended:
-            return
-        if self._connecting is not None:
-            self._connecting.cancel()
-        connection, self._connection = self._connection, None
-        self._end(outcome, "")
-        if connection is not None:
-            connection.abort()
-
-    def take_body(self) -> bytes:
-        """Return what was read of the body and not taken yet."""
-        body = b"".join(self._parts)
-        self._parts.clear()
-        self.held = 0
-        return body
-
-    def pause(self) -> None:
-        """Stop reading the answer while the caller does not."""
-        if self._connection is not None:
-            self._connection.pause()
-
-    def resume(self) -> None:
-        """Go on reading the answer."""
-        if self._connection is not None:
-            self._connection.resume()
-
-    # Connection
-
-    def _connected(self, connection: TargetConnection, seconds: float) -> None:
-        self._services.steering.transit.connected(self.attempt.target, seconds)
-        self._connecting = None
-        if self.ended:
-            connection.abort()
-            return
-        self._send(connection)
-
-    def _not_connected(self, reason: str) -> None:
-        self._connecting = None
-        if not self.ended:
-            self._end(Outcome.NOT_SENT, reason)
-
-    def _send(self, connection: TargetConnection) -> None:
-        services, work = self._services, self.attempt.work
-        left = work.deadline - services.clock.seconds()
-        if left <= 0.0:
-            services.pool.connection_idle(connection)
-            self._end(Outcome.NOT_SENT, "deadline")
-            return
-        work.sent += 1
-        self._connection = connection
-        request = self._exchange.request
-        dialect = services.dialect
-        data = dialect.request_bytes(
-            request.method,
-            request.uri,
-            request.headers,
-            request.body,
-            self.attempt.target.registration.target_id,
-            math.floor(left * 1000.0),
-        )
-        request_id = work.request_id.encode("latin-1")
-        expected = Expected(request.method, lambda headers: dialect.belongs(headers, request_id))
-        connection.send(data, expected, self)
-
-    # Answer
-
-    def answer_began(self, head: AnswerHead) -> None:
-        """Take the head."""
-        self.head = head
-        if self._is_passed_on(head):
-            self._exchange.sending_began(self, head)
-
-    def answer_data(self, data: bytes) -> None:
-        """Take a part of the body."""
-        self._parts.append(data)
-        self.held += len(data)
-        if self.head is not None and self._is_passed_on(self.head):
-            self._exchange.sending_grew(self)
-
-    def answer_ended(self) -> None:
-        """Judge the whole answer."""
-        if self.ended:
-            return
-        assert self.head is not None
-        self._connection = None
-        outcome = self._services.dialect.outcome(self.head)
-        self._end(outcome, str(self.head.status))
-
-    def answer_broken(self, reason: str) -> None:
-        """Note that no whole answer came; an earlier head may have settled what it means."""
-        if self.ended:
-            return
-        self._connection = None
-        outcome = Outcome.LOST
-        if self.head is not None:
-            judged = self._services.dialect.outcome(self.head)
-            if judged in (Outcome.REJECTED, Outcome.MISDIRECTED):
-                outcome = judged
-            else:
-                outcome = Outcome.INVALID
-        registration = self.attempt.target.registration
-        self._services.pool.discard_idle((registration.host, registration.port))
-        self._end(outcome, reason)
-
-    def _is_passed_on(self, head: AnswerHead) -> bool:
-        return self._services.dialect.outcome(head) is Outcome.ANSWERED
-
-    def _end(self, outcome: Outcome, detail: str) -> None:
-        if self.ended:
-            return
-        self.ended = True
-        self._exchange.sending_ended(self, outcome, detail)
-
-
 def _failure_code(work: Work, outcome: Outcome) -> Code:
     if outcome is Outcome.TIMED_OUT:
         return Code.DEADLINE_PASSED
--- a/briarspur/gateway/front.py
+++ b/briarspur/gateway/front.py
@@ -8,12 +8,13 @@
 from twisted.web.http import HTTPChannel
 
 from briarspur.attempts import Flow
+from briarspur.backend import AnswerHead
 from briarspur.callerrequest import FlowProducer, HeldRequest
 from briarspur.channel import CallerChannel, ChannelClock, ChannelFactory
 from briarspur.codes import CODES
 from briarspur.gateway.configuration import Limits
-from briarspur.gateway.connection import AnswerHead
-from briarspur.gateway.exchange import Exchange, IncomingRequest
+from briarspur.gateway.exchange import Exchange
+from briarspur.gateway.sending import IncomingRequest
 from briarspur.gateway.steering import Refused
 from briarspur.messages import Refusal
 from briarspur.settings import LimitSettings
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -4,8 +4,8 @@
 
 from twisted.web.http_headers import Headers
 
+from briarspur.backend import AnswerHead
 from briarspur.codes import CODES, Code
-from briarspur.gateway.connection import AnswerHead
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.steering import Arrival
 from briarspur.headers import HOP_BY_HOP, connection_tokens, last_value
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -6,12 +6,13 @@
 from twisted.web.http_headers import Headers
 
 from briarspur.attempts import Flow
+from briarspur.backend import AnswerHead
 from briarspur.codes import Code
 from briarspur.gateway.configuration import RouteKind
-from briarspur.gateway.connection import AnswerHead
-from briarspur.gateway.exchange import Exchange, IncomingRequest, Services
+from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.pool import ConnectionPool
+from briarspur.gateway.sending import IncomingRequest, Services
 from briarspur.gateway.steering import Attempt, Refused, Steering, Work
 from briarspur.platform.dialect import PlatformDialect
 from tests.gateway.samples import begun, registration, route, steering
@@ -125,13 +126,15 @@
                 made.targets.registered(registration(target_id, port=backend.port), now)
             recorder = Recorder()
             pool = ConnectionPool(the_reactor())
-            services = Services(
-                made, pool, the_reactor(), PlatformDialect(), recorder, lambda exchange: None
-            )
+            services = Services(made, pool, the_reactor(), PlatformDialect(), recorder)
             item = begun(made, now, path=path, patience=patience)
             headers = Headers({b"X-Request-Id": [b"r-1"], b"Host": [b"quay.example"]})
             exchange = Exchange(
-                services, IncomingRequest(b"GET", path.encode(), headers, b""), item, recorder
+                services,
+                IncomingRequest(b"GET", path.encode(), headers, b""),
+                item,
+                recorder,
+                lambda ended: None,
             )
             exchange.start()
             try:
