--- a/briarspur/gateway/newsdesk.py
+++ b/briarspur/gateway/newsdesk.py
@@ -19,8 +19,8 @@
 """News per second that an entry sends at most to the members of its group; in larger groups they
 come less often. Making or reading one takes about 0.1 ms, so both stay under 5 % of a core."""
 SUM_PERIOD = 0.1
-"""Seconds between two sums that a speaker sends. Their way from an entry of one group to one of
-another has three steps, some 0.2 s together."""
+"""Seconds between two sums that a speaker sends, more in fleets where that would be too many
+messages. Their way from an entry of one group to one of another has three steps, some 0.2 s."""
 QUIET_PERIOD = 0.3
 """Seconds between two news that say the same, so that others know that this entry lives."""
 
@@ -111,7 +111,7 @@
             self.tell(now, counts)
         if not self.groups.is_speaker:
             self._loads.forget_relayed()
-        elif now - self._last_sum_at >= SUM_PERIOD:
+        elif now - self._last_sum_at >= self._sum_period():
             self._last_sum_at = now
             self._tell_sums(now, counts)
 
@@ -126,6 +126,10 @@
         """Drop the news of entries that were not heard for long."""
         self.peers = {k: v for k, v in self.peers.items() if now - v[0] <= longest}
 
+    def _sum_period(self) -> float:
+        receivers = len(self.groups.members) + len(self.groups.speakers)
+        return max(SUM_PERIOD, receivers / NEWS_PER_S)
+
     def _tell_sums(self, now: float, counts: Counter[int]) -> None:
         """Tell the other groups about this one, and this one's members about the others."""
         zone = self.groups.name
