Answer callers of a hanging store at their deadlines

Cause: a claim of a foreign key was tried three times with a store call's timeout (2 s each, 6.1 s in all), and nothing bound the request by its deadline meanwhile. Three tests of the core and one of the key store failed first.

--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -295,6 +295,7 @@
         out: list[Action] = []
         for work in self.placement.hopeless(now):
             self._pipeline.refuse(work, self.placement.overloaded(work.service.name, now), out)
+        self._pipeline.refuse_overdue_at_store(now, out)
         self.keys.expire(now, wall)
         self._pipeline.run_waiting(now, out)
         return out
--- a/briarspur/finals.py
+++ b/briarspur/finals.py
@@ -1,6 +1,7 @@
 """The open requests and their final answers: one for each caller, also of those that joined."""
 
 from briarspur.codes import Code
+from briarspur.coord.keys import Key
 from briarspur.coord.once import KeptAnswer, KeyMemory, NotRun, NotRunProof
 from briarspur.messages import Abort, Action, Answer, Refusal, Refuse, Reply
 from briarspur.placement import Placement
@@ -88,6 +89,23 @@
             if self._works_by_id.pop(request_id, None) is not None:
                 out.append(Refuse(request_id, refusal))
 
+    def waits_for_store(self, work: Work, key: Key) -> bool:
+        """Tell whether a caller is there and nothing of its request has been sent on."""
+        if self.get(work.request.request_id) is not work or not work.caller_here:
+            return False
+        return work.attempt is None and (work.claiming or not self._runs(key))
+
+    def _runs(self, key: Key) -> bool:
+        """Tell whether a request of this key is past its claim."""
+        runners = [work for work in self._works_by_id.values() if work.key == key]
+        return any(not runner.claiming for runner in runners)
+
+    def refuse_caller(self, work: Work, refusal: Refusal, out: list[Action]) -> None:
+        """Refuse a once-only request's caller; what was begun for its key goes on."""
+        out.append(Refuse(work.request.request_id, refusal))
+        work.caller_here = False
+        self.once_only_caller_gone(work)
+
     def once_only_caller_gone(self, work: Work) -> None:
         """Give a once-only request up if nothing was dispatched and no other caller waits."""
         key = self._keys.leave(work.request.request_id)
--- a/briarspur/keystore.py
+++ b/briarspur/keystore.py
@@ -22,6 +22,10 @@
 PAUSE_S = 1.0
 """Seconds without claims after one that the store did not settle."""
 
+SLOW_CLAIM_S = 0.5
+"""Seconds after which an open claim tells that the store hangs: a quarter of the default timeout of
+a store call, and some fifty times what a claim takes at an idle store."""
+
 
 class ObjectKeyStore:
     """Keys in the object store.
@@ -43,18 +47,20 @@
         self._claims = claims
         self._clock = clock
         self._unsettled_until = -math.inf
+        self._claiming_since_by_key: dict[str, float] = {}
 
     async def claim(self, key: str, body_digest: bytes) -> SettledClaim:
         """Claim a foreign key."""
         parsed = parse_key(key)
         if parsed.is_error():
             return SettledClaim(ClaimResult.UNSETTLED)
-        # In an outage of the store each claim waits for a timeout, often its caller's whole
-        # deadline. After one that could not be settled, the others get their refusal at once, but
-        # for one try in each pause.
-        if self._clock() < self._unsettled_until:
+        if self._store_is_out():
             return SettledClaim(ClaimResult.UNSETTLED)
-        outcome = await self._claims.claim(parsed.ok, body_digest)
+        self._claiming_since_by_key[key] = self._clock()
+        try:
+            outcome = await self._claims.claim(parsed.ok, body_digest)
+        finally:
+            self._claiming_since_by_key.pop(key, None)
         if isinstance(outcome, ClaimUnsettled):
             self._unsettled_until = self._clock() + PAUSE_S
         if isinstance(outcome, ClaimOurs):
@@ -63,6 +69,19 @@
             return SettledClaim(ClaimResult.TAKEN, outcome.incarnation)
         return SettledClaim(ClaimResult.UNSETTLED)
 
+    def _store_is_out(self) -> bool:
+        """Tell whether a claim begun now would only wait.
+
+        In an outage of the store each claim waits for a timeout, often its caller's whole deadline.
+        Once the oldest open claim is slow, or one could not be settled, the others get their
+        refusal at once: the open one, or one try in each pause, tells when the store is back.
+        """
+        now = self._clock()
+        if now < self._unsettled_until:
+            return True
+        oldest = next(iter(self._claiming_since_by_key.values()), now)
+        return now - oldest > SLOW_CLAIM_S
+
     async def fetch(self, incarnation: str, key: str) -> FetchedOutcome:
         """Read what a gone incarnation recorded about a key."""
         parsed = parse_key(key)
--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -36,6 +36,7 @@
 )
 from briarspur.placement import Placement, Queued, Refused, ToEntry, ToTarget
 from briarspur.routing import Routing
+from briarspur.storewaits import StoreWaits
 from briarspur.target import OwnTarget
 from briarspur.work import Attempt, Classified, Work
 
@@ -92,6 +93,7 @@
         self._inflight = inflight
         self._finals = finals
         self._dedupe = Deduplicator(keys)
+        self._store_waits = StoreWaits()
 
     def enter(
         self, item: Classified, view: MemberView, now: float, wall: float, out: list[Action]
@@ -115,13 +117,30 @@
             case ClaimKey(key=key):
                 work.key = key
                 work.claiming = True
+                self._store_waits.add(work, key)
                 out.append(Claim(request_id, key.text, item.request.body_digest))
             case ToHome(home=home):
                 self._forward(work, home, now, out, to_home=True)
             case AskStore(key=key):
-                out.append(FetchOutcome(request_id, key.incarnation or "", key.text))
+                self._fetch_outcome(work, key.incarnation or "", key, out)
             case WaitForOutcome(key=key):
-                pass
+                self._store_waits.add(work, key)
+
+    def _fetch_outcome(self, work: Work, incarnation: str, key: Key, out: list[Action]) -> None:
+        self._store_waits.add(work, key)
+        out.append(FetchOutcome(work.request.request_id, incarnation, key.text))
+
+    def refuse_overdue_at_store(self, now: float, out: list[Action]) -> None:
+        """Answer the callers whose deadlines pass while the store says nothing.
+
+        A store that hangs holds a call for its timeout, and a claim for several of them, so a
+        caller of a foreign key had no answer when its own timeout came. The claim itself goes on:
+        it may take effect and can't be made twice.
+        """
+        for work, key in self._store_waits.take_overdue(now):
+            if self._finals.waits_for_store(work, key):
+                refusal = Refusal(Code.STORE_UNAVAILABLE, retry_after=CLAIM_RETRY_AFTER)
+                self._finals.refuse_caller(work, refusal, out)
 
     def claimed(
         self,
@@ -134,6 +153,7 @@
         """Go on with a foreign key: run it, send it to the one that holds its claim, or refuse."""
         key = work.key
         work.claiming = False
+        self._store_waits.discard(work)
         if key is None:
             return
         if claim.result is ClaimResult.OURS:
@@ -167,11 +187,12 @@
             if each is None:
                 continue
             each.key = None
+            self._store_waits.discard(each)
             if holder == self._keys.incarnation:
                 # An older claim of our own, whose key the memory has forgotten: it may have run.
                 self._finals.finish(each, Refusal(Code.HOME_GONE), out)
             elif home is None:
-                out.append(FetchOutcome(request_id, holder or "", key.text))
+                self._fetch_outcome(each, holder or "", key, out)
             elif each.request.forwarded_by is not None:
                 # Two entries with different views would send the request to and fro.
                 self._finals.finish(each, Refusal(Code.HOME_UNREACHABLE, retry_after=1.0), out)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -24,6 +24,9 @@
 from tests.bench import WALL, Bench, body, make_core, make_view
 from tests.examples import small_policy
 
+DEADLINE_S = 2.0
+"""Of a booking, as in the default of the policy."""
+
 
 class ServeTest(unittest.TestCase):
     """One entry with targets of its own."""
@@ -299,6 +302,54 @@
         again = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
         self.assertIsInstance(again, Dispatch)
 
+    def test_callers_of_a_hanging_claim_are_answered_at_their_deadlines(self) -> None:
+        """A builder with an own key hears nothing for 6 s and does not know whether to ask again.
+
+        The store hangs. The claim is tried three times with the timeout of a store call, each as
+        long as the deadline; whoever joins it waits as long. The claim is made after all.
+        """
+        claim = self.bench.arrive("POST", "/booking/new", key="my-own-key")[0]
+        joined = self.bench.arrive("POST", "/booking/new", key="my-own-key", now=1.0)
+        self.assertEqual(joined, [])
+        self.assertEqual(self.core.tick(DEADLINE_S - 0.01, WALL), [])
+        [first] = self.core.tick(DEADLINE_S, WALL + DEADLINE_S)
+        self.assertEqual(first.request_id, claim.request_id)
+        self.assertEqual(first.refusal.code, Code.STORE_UNAVAILABLE)
+        self.assertIsNotNone(first.refusal.retry_after)
+        [second] = self.core.tick(DEADLINE_S + 1.0, WALL + DEADLINE_S + 1.0)
+        self.assertEqual(second.request_id, "r2")
+        self.assertEqual(second.refusal.code, Code.STORE_UNAVAILABLE)
+        settled = SettledClaim(ClaimResult.OURS)
+        self.assertEqual(self.core.claim_settled(claim.request_id, settled, 6.0), [])
+        self.assertEqual(self.core.open_requests(), 0)
+        again = self.bench.arrive("POST", "/booking/new", key="my-own-key", now=6.0)[0]
+        self.assertIsInstance(again, Dispatch)
+
+    def test_caller_of_a_hanging_outcome_is_answered_at_its_deadline(self) -> None:
+        """A passenger whose entry died waits for 4 s while the store is silent.
+
+        What the gone entry left is read in two calls, and each waits for the store's timeout.
+        """
+        key = self.bench.key(incarnation="f" * 16)
+        [fetch] = self.bench.arrive("POST", "/booking/new", key=key)
+        self.assertIsInstance(fetch, FetchOutcome)
+        [refused] = self.core.tick(DEADLINE_S, WALL + DEADLINE_S)
+        self.assertEqual(refused.refusal.code, Code.STORE_UNAVAILABLE)
+        self.assertEqual(self.core.outcome_fetched(fetch.request_id, False, None, 4.0), [])
+
+    def test_request_sent_to_the_holder_of_a_claim_is_not_refused_as_waiting(self) -> None:
+        """A passenger is told that a booking was not run which another entry is just making.
+
+        The claim is another entry's; the request and the one that joined it are sent there and
+        are still on their way when their deadlines pass.
+        """
+        claim = self.bench.arrive("POST", "/booking/new", key="a-foreign-key")[0]
+        self.bench.arrive("POST", "/booking/new", key="a-foreign-key")
+        other = make_view(1).by_id["entry-2"]
+        taken = SettledClaim(ClaimResult.TAKEN, other.incarnation)
+        self.core.claim_settled(claim.request_id, taken, 0.1)
+        self.assertEqual(self.core.tick(DEADLINE_S, WALL + DEADLINE_S), [])
+
     def test_all_callers_of_a_claim_leave(self) -> None:
         """A stopping entry never ends: it waits for a request whose caller is long gone.
 
--- a/tests/test_keystore.py
+++ b/tests/test_keystore.py
@@ -1,12 +1,13 @@
 """Tests of claims and outcomes as the carrier asks for them."""
 
+import asyncio
 import unittest
 from typing import cast
 
 from briarspur.coord.claims import ClaimOurs, ClaimOutcome, Claims, ClaimUnsettled
 from briarspur.coord.keys import Key
 from briarspur.coord.memorystore import MemoryStore
-from briarspur.keystore import PAUSE_S, ObjectKeyStore
+from briarspur.keystore import PAUSE_S, SLOW_CLAIM_S, ObjectKeyStore
 from briarspur.messages import ClaimResult
 
 KEY = "a-foreign-key"
@@ -22,6 +23,19 @@
         return self.outcomes.pop(0)
 
 
+class HangingClaims:
+    """Claims that are settled when the test says so."""
+
+    def __init__(self) -> None:
+        self.begun = 0
+        self.settled = asyncio.Event()
+
+    async def claim(self, key: Key, body_digest: bytes) -> ClaimOutcome:
+        self.begun += 1
+        await self.settled.wait()
+        return ClaimOurs()
+
+
 class ClaimPauseTest(unittest.IsolatedAsyncioTestCase):
     """An outage of the store holds nobody to its deadline."""
 
@@ -38,3 +52,23 @@
         self.assertEqual(len(claims.outcomes), 1)
         now[0] += PAUSE_S
         self.assertIs((await keys.claim(KEY, b"")).result, ClaimResult.OURS)
+
+    async def test_claims_are_refused_at_once_while_one_hangs(self) -> None:
+        """Builders with own keys wait for 2 s each in the first seconds of an outage.
+
+        The store hangs. A claim is tried three times before it counts as unsettled, and until then
+        every order after it waited too.
+        """
+        now = [100.0]
+        claims = HangingClaims()
+        keys = ObjectKeyStore(MemoryStore(), cast(Claims, claims), clock=lambda: now[0])
+        first = asyncio.ensure_future(keys.claim(KEY, b""))
+        await asyncio.sleep(0)
+        now[0] += SLOW_CLAIM_S + 0.01
+        refused = await keys.claim("another-foreign-key", b"")
+        self.assertIs(refused.result, ClaimResult.UNSETTLED)
+        self.assertEqual(claims.begun, 1)
+        claims.settled.set()
+        self.assertIs((await first).result, ClaimResult.OURS)
+        again = await keys.claim("another-foreign-key", b"")
+        self.assertIs(again.result, ClaimResult.OURS)
