--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -29,8 +29,8 @@
 GATE_STEP = 0.1
 """Seconds between two looks at whether the store may be asked."""
 SILENCE = 1.0
-"""Seconds without news of an entry after which its next ones tell that a cut is over; entries tell one
-another their load each 0.3 s at least. Several that were cut off together may hear one another."""
+"""Seconds without news of an entry after which its next ones tell that a cut is over; entries tell
+their load each 0.3 s at least. Several that were cut off together may hear one another."""
 FALLBACK_PAUSE = 1.5
 """Mean seconds between two questions of an entry that is no reader, while the store does not answer
 it either. In an outage a fleet of 91 then makes 60 calls per second, of 6,000 allowed."""
