--- a/briarspur/gateway/departures.py
+++ b/briarspur/gateway/departures.py
@@ -7,9 +7,10 @@
 back, by the platform's word about 2 s; what is still missing then is gone."""
 
 
-CUT_CREDIT = 1.5
+CUT_CREDIT = 3.0
 """Seconds from the first news of other entries after a cut to the next answer of the store, up to
-which the store is taken to have been there all along."""
+which the store is taken to have been there all along. Answers came 0.1 to 1.7 s after the end of cuts
+of 12 s; a store that was away for all and lapsed registrations is then held for up to 3 s less."""
 
 
 class Departures:
@@ -37,10 +38,12 @@
         """Note that entries are heard again that were not heard for a while.
 
         This entry was cut off then, and the store was there for the others. Counted from its own
-        next call, which may come 1 s later, the hold kept servers that had left during the cut past
-        the bound for a drain, by 0.4 s.
+        next answered call, which may come 1.7 s later, the hold kept servers that had left during the
+        cut past the bound for a drain, by 0.3 to 2 s.
         """
-        self._reached_at = now
+        # The others are heard one after another; the first of them tells when the cut ended.
+        if now - self._reached_at > CUT_CREDIT:
+            self._reached_at = now
 
     def vanished(self, name: str, now: float) -> bool:
         """Return whether a target may be removed at once; otherwise it is held."""
