Take copies from other entries while the store does not answer

Cause, from the lines: the four entries were cut off from the store only. No entries-changed line names a lost entry, so they heard the others all the time. Both readers were among them, so all entries began to ask the store themselves after 1.6 s (store-reader reading=yes at 2.2 s). An entry that asks itself took no copies, though the others were ahead from 4.1 s on, and its own calls failed until 13 s. Change: an entry whose calls fail takes copies. Test: fails without the change.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -129,7 +129,6 @@
         )
         self.syncs = {kind: self._make_sync(kind) for kind in FOLLOWED}
         self.following.syncs = self.syncs
-        self.following.on_reached = self.applier.reached_again
         self._warmth = WarmthKeeper(
             source,
             self.steering.loads,
--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -60,10 +60,6 @@
         if kind is Kind.TARGETS:
             self._departures.store_reachable(reachable, self._clock())
 
-    def reached_again(self) -> None:
-        """Note that this entry was cut off, and is so no more."""
-        self._departures.reached_again(self._clock())
-
     def tick(self) -> None:
         """Remove targets whose registrations did not come back in time."""
         for name in self._departures.due(self._clock()):
--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -28,9 +28,6 @@
 """Seconds between two looks while the other entries are being listed, which takes about 0.02 s."""
 GATE_STEP = 0.1
 """Seconds between two looks at whether the store may be asked."""
-SILENCE = 1.0
-"""Seconds without news of an entry after which its next ones tell that a cut is over; entries tell
-their load each 0.3 s at least. Several that were cut off together may hear one another."""
 FALLBACK_PAUSE = 1.5
 """Mean seconds between two questions of an entry that is no reader, while the store does not answer
 it either. In an outage a fleet of 91 then makes 60 calls per second, of 6,000 allowed."""
@@ -55,7 +52,6 @@
         seeds: Iterable[Address],
     ) -> None:
         self.syncs: Mapping[Kind, Sync] = {}
-        self.on_reached: Callable[[], None] = lambda: None
         self._gossip = gossip
         self._puller = puller
         self._clock = clock
@@ -67,7 +63,6 @@
         self._confirmed_at = float("-inf")
         self._read_at = float("-inf")
         self._next_fallback = float("-inf")
-        self._heard_at: dict[str, float] = {}
         self._pulling: set[Kind] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_reading = False
@@ -128,10 +123,6 @@
 
     def heard(self, news: News) -> None:
         """Take another entry's knowledge: what it has beyond this one's is pulled."""
-        now = self._clock()
-        if now - self._heard_at.get(news.entry_id, now) > SILENCE:
-            self._reached_again()
-        self._heard_at[news.entry_id] = now
         # A copy is complete up to its revision, so only a later change can be missing. The latest
         # significant revision here is no measure: it may be that of a renewal which brought an
         # earlier change along, and would hide another server's change between the two.
@@ -144,7 +135,10 @@
             if all(news.revisions.get(kind, 0) for kind in (Kind.TARGETS, Kind.CONFIGURATION)):
                 self._confirmed_at = max(self._confirmed_at, self._clock() - news.store_age)
             return
-        if self._is_reading():
+        # An entry that follows the store itself needs no copies, unless the store does not answer
+        # it. One that was cut off from the store only took none of what the others told it, and
+        # sent to servers that had left for as long as the cut lasted, and 5 s more.
+        if self._is_reading() and not self.syncs[Kind.TARGETS].failing:
             return
         for kind in behind:
             if kind not in self._pulling:
@@ -152,18 +146,6 @@
                 if address is not None:
                     self._start(self._pull(address, kind))
 
-    def _reached_again(self) -> None:
-        """Ask the store at once if it did not answer while an entry was not heard either.
-
-        This entry was cut off then, not the store away. What left meanwhile is only known from the
-        store, and is held for 2.2 s more then. With the pause of an outage an entry sent to servers
-        that had left for 5 s after it was back.
-        """
-        self._next_fallback = float("-inf")
-        self.on_reached()
-        for sync in self.syncs.values():
-            sync.hurry()
-
     def tick(self) -> None:
         """Note a change of role, and ask the seeds if the store is silent at the start."""
         reading = self._is_reading()
--- a/briarspur/gateway/sync.py
+++ b/briarspur/gateway/sync.py
@@ -1,7 +1,6 @@
 """Keeps a replica up to date from the store."""
 
 import asyncio
-import contextlib
 import logging
 import random
 from collections.abc import Callable, Sequence
@@ -84,7 +83,6 @@
         self.answered_calls = 0
         self.failed_calls = 0
         self._doubted = False
-        self._hurried = asyncio.Event()
 
     @property
     def failing(self) -> bool:
@@ -112,14 +110,14 @@
             except _DoubtError:
                 continue
             except HistoryGoneError:
-                # The store answers, so the list is asked for at once. An entry that had been cut
-                # off waited for up to 2 s more here, and sent to servers that had long left.
+                # The store answers, so the list is asked for at once: an entry that had been cut
+                # off from it waited for 1 s more here, and up to 2 s by its pauses.
                 logs.event("history-gone", kind=self.replica.kind.name)
                 listing = answered = True
                 continue
             except StoreError as error:
                 self._failed(error)
-                await self._pause_before_retry()
+                await asyncio.sleep(self._retry_pause())
                 continue
             listing = False
             self._succeeded()
@@ -145,20 +143,6 @@
             if self._call is not None:
                 self._call.cancel()
 
-    def hurry(self) -> None:
-        """Ask a store that did not answer again at once: it may be reachable now."""
-        if self._failures == 0:
-            return
-        self._hurried.set()
-        if self._call is not None:
-            self._call.cancel()
-
-    async def _pause_before_retry(self) -> None:
-        self._hurried.clear()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._retry_pause()):
-                await self._hurried.wait()
-
     async def _interruptible(self, listing: bool) -> Batch:
         """Make the next call; it may be given up by :meth:`doubt`."""
         self._call = asyncio.ensure_future(self._next(listing))
--- a/briarspur/storecalls.py
+++ b/briarspur/storecalls.py
@@ -132,10 +132,6 @@
         except NOT_SENT as error:
             raise NotSentError(str(error)) from None
         except TimeoutError:
-            # After a cut a kept connection first repeats what was lost on it, at pauses that have
-            # doubled for as long as the cut lasted: calls on it hung for 1.5 s more. A new one is
-            # made within milliseconds.
-            self._pool.closeCachedConnections()
             if body is not None and not body.started:
                 raise NotSentError("timed out before it was sent") from None
             raise NoAnswerError("timed out") from None
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -287,33 +287,34 @@
 
         self.run_on_loop(work())
 
-    def test_after_a_cut_the_first_news_let_the_store_be_asked_at_once(self) -> None:
-        """An entry is cut off from everything for 10 s, and servers leave meanwhile.
+    def test_an_entry_that_the_store_does_not_answer_takes_what_others_know(self) -> None:
+        """An entry is cut off from the store for 12 s, and servers leave; it hears all others.
 
-        It asked the store again only after the pause of an outage, up to 2.2 s after it was back,
-        and its requests reached servers 12 s after they had said that they leave.
+        It had begun to ask the store itself, since the readers were cut off too, and then took no
+        copies any more. Its requests reached a server 12 s after it had said that it leaves.
         """
 
         async def work() -> None:
-            store = FakeStore()
-            reader, other = self.pair(store, 9)
+            store, port = FakeStore(), 17_547
+            reader, other = self.pair(store, port)
             for member in self.spare:
                 await member.close()
+            await reader.server.start(HOST, port)
             await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
-            for task in other.tasks:
-                task.cancel()
-            following, targets = other.following, other.syncs[Kind.TARGETS]
+            for member in (reader, other):
+                for task in member.tasks:
+                    task.cancel()
+            reader.syncs[Kind.TARGETS].take(
+                Batch(190, (StoredChange("t-2", 170, {"state": "draining"}),))
+            )
+            following = other.following
             following._began = following._confirmed_at = following._clock() - 10.0
-            targets._failures = 3
-            self.assertEqual(0.0, following.gate(Kind.TARGETS))
-            self.assertGreater(following.gate(Kind.TARGETS), 0.0, "the pause of an outage")
-            following.heard(reader.news(89))
-            self.assertGreater(following.gate(Kind.TARGETS), 0.0, "no cut")
-            following._heard_at[reader.me.entry_id] = following._clock() - 10.0
-            following.heard(reader.news(90))
-            self.assertEqual(0.0, following.gate(Kind.TARGETS))
-            following.heard(reader.news(91))
-            self.assertGreater(following.gate(Kind.TARGETS), 0.0, "only the first news")
+            following.heard(reader.news(60))
+            await asyncio.sleep(0.1)
+            self.assertLess(other.syncs[Kind.TARGETS].replica.revision, 190, "it asks the store")
+            other.syncs[Kind.TARGETS]._failures = 1
+            following.heard(reader.news(61))
+            await eventually(lambda: other.syncs[Kind.TARGETS].replica.revision == 190)
             await other.close()
             await reader.close()
 
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -126,35 +126,6 @@
 
         self.run_on_loop(work())
 
-    def test_an_entry_that_is_reached_again_asks_the_store_at_once(self) -> None:
-        """The same cut: when it ends, a call that began within it hangs for 2 s more.
-
-        After that came a pause of up to 1 s.
-        """
-
-        async def work() -> None:
-            source = FakeSource()
-            sync = self.make(source)
-            task = asyncio.ensure_future(sync.run())
-            source.answers.put_nowait(Batch(5, (), True))
-            for _ in range(4):
-                source.answers.put_nowait(StoreUnavailableError("cut off"))
-            await eventually(lambda: sync.failing)
-            calls = len(source.calls)
-            while source.answers.qsize():
-                sync.hurry()
-                await asyncio.sleep(0.005)
-            await eventually(lambda: sync.failing and sync._call is not None)
-            hanging = len(source.calls)
-            sync.hurry()
-            await eventually(lambda: len(source.calls) > hanging)
-            source.answers.put_nowait(Batch(6, (StoredChange("a", 6, {}),)))
-            await eventually(lambda: sync.replica.revision == 6)
-            self.assertGreaterEqual(len(source.calls) - calls, 4)
-            task.cancel()
-
-        self.run_on_loop(work())
-
     def test_an_outage_is_told_and_its_end_too(self) -> None:
         async def work() -> None:
             source = FakeSource()
