--- a/tests/gateway/test_warmthkeeper.py
+++ b/tests/gateway/test_warmthkeeper.py
@@ -89,7 +89,7 @@
         """All entries lose their power and come back 1.2 s later, with the callers.
 
         The servers had not been touched, but each entry sent each object where its order said:
-        87 of 234 requests of the third and fourth second were late, now as few as before.
+        87 of 234 requests of the third and fourth second were late.
         """
         made = steering(2)
         store = RecordStore(record(made))
