Serve uploads; read a configuration part by part

Cause: the codec knew three kinds of route.

Ruled out: the store (other kinds of object were read), the settings template, the entries' start.

Change: 'upload' is a kind that is never repeated without proof that it was not run. Each part of the document is read by itself; what can't be read is skipped, or read in the most careful way, logged as configuration-part-malformed and counted. A document without a usable route leaves the last one in force. While a route is skipped, a request that matches none is refused as not run, not as unknown.

--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -39,6 +39,7 @@
         self._departures = Departures()
         self._evacuated: set[str] = set()
         self.malformed = 0
+        self.parts_malformed = 0
 
     def changed(self, kind: Kind, changes: Sequence[StoredChange]) -> None:
         """Take the changes of a kind."""
@@ -72,15 +73,28 @@
         if read.is_error():
             self._malformed(Kind.CONFIGURATION, change, read.error)
             return
-        configuration = read.ok
-        if self._steering.configuration_accepted(configuration):
+        configuration, faults = read.ok.configuration, read.ok.faults
+        if not self._steering.configuration_accepted(configuration):
+            return
+        logs.event(
+            "configuration-in-force",
+            version=configuration.version,
+            revision=change.revision,
+            routes=len(configuration.routes),
+            skipped=sum(fault.skipped for fault in faults) or None,
+        )
+        self.parts_malformed += len(faults)
+        for fault in faults:
             logs.event(
-                "configuration-in-force",
+                "configuration-part-malformed",
+                logging.WARNING,
                 version=configuration.version,
-                revision=change.revision,
-                routes=len(configuration.routes),
+                part=fault.part,
+                part_name=fault.name or None,
+                skipped="yes" if fault.skipped else "no",
+                reason=fault.reason,
             )
-            self._on_configuration(configuration)
+        self._on_configuration(configuration)
 
     def _target(self, change: StoredChange) -> None:
         targets, now = self._steering.targets, self._clock()
@@ -126,5 +140,6 @@
             kind=kind.name,
             object=change.name,
             revision=change.revision,
+            version_in_force=self._steering.version or None,
             reason=reason,
         )
--- a/briarspur/gateway/codec.py
+++ b/briarspur/gateway/codec.py
@@ -1,6 +1,7 @@
 """How stored objects and look-ups are read and written; the platform package implements it."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from expression import Result
@@ -10,7 +11,31 @@
 from briarspur.gateway.registration import Registration
 from briarspur.gateway.replica import Kind
 
-__all__ = ["Codec"]
+__all__ = ["Codec", "PartFault", "ReadConfiguration"]
+
+
+@dataclass(frozen=True, slots=True)
+class PartFault:
+    """A part of a configuration that could not be read as it stands.
+
+    Attributes
+    ----------
+    skipped : bool
+        The part is not in force; otherwise it is, in the most careful reading.
+    """
+
+    part: str
+    name: str
+    reason: str
+    skipped: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReadConfiguration:
+    """What could be read of a configuration's document, and what could not."""
+
+    configuration: Configuration
+    faults: tuple[PartFault, ...] = ()
 
 
 class Codec(Protocol):
@@ -23,8 +48,8 @@
     def essence(self, kind: Kind, value: Any) -> Any:
         """Return the part of a stored value whose change matters to entries."""
 
-    def configuration(self, value: Any) -> Result[Configuration, str]:
-        """Return the configuration of a stored object, or what is wrong with it."""
+    def configuration(self, value: Any) -> Result[ReadConfiguration, str]:
+        """Return what a stored configuration says, or why none of it can be used."""
 
     def registration(self, name: str, value: Any) -> Result[Registration, str]:
         """Return a backend server's registration, or what is wrong with it."""
--- a/briarspur/gateway/configuration.py
+++ b/briarspur/gateway/configuration.py
@@ -22,6 +22,12 @@
     IDEMPOTENT = "idempotent"
     ONCE_ONLY = "once_only"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
+
+
+REPEATABLE = frozenset({RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD})
+"""Kinds whose requests may run more than once. Uploads are not among them: a delivery note that ran
+and whose answer was lost would be recorded twice."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +73,7 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is not RouteKind.ONCE_ONLY
+        return self.kind in REPEATABLE
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,12 +108,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the whole configuration."""
+    """One version of the whole configuration.
+
+    Attributes
+    ----------
+    complete : bool
+        Every route of the document could be read. If not, a request that matches no route may be
+        one that a skipped route allows, so "no such route" would not be true.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: dict[str, Service]
     limits: Limits = Limits()
+    complete: bool = True
     table: "RouteTable" = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/briarspur/gateway/exposition.py
+++ b/briarspur/gateway/exposition.py
@@ -23,6 +23,9 @@
     "store_age_seconds": "gauge by kind: time since the store last answered about it",
     "store_calls_total": "counter by kind and result: calls to the store",
     "objects_malformed_total": "counter: stored objects that could not be read",
+    "configuration_parts_malformed_total": (
+        "counter: routes, services and limits of accepted configurations that could not be read"
+    ),
     "news_malformed_total": "counter: datagrams that were not news",
     "log_lines_dropped_total": "counter: log lines that nobody read in time",
 }
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -25,6 +25,7 @@
     page.value("configuration_version", gateway.steering.version)
     _store(page, gateway)
     page.value("objects_malformed_total", gateway.applier.malformed)
+    page.value("configuration_parts_malformed_total", gateway.applier.parts_malformed)
     page.value("news_malformed_total", gateway.news_port.malformed)
     return page.text()
 
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -187,6 +187,10 @@
         if configuration is None:
             return Refused(Code.NOT_READY, STARTING_RETRY_AFTER)
         route = configuration.table.find(arrival.host, arrival.path)
+        if route is None and not configuration.complete:
+            # A route that could not be read may allow it. Callers take "no such route" as final and
+            # come back after this.
+            return Refused(Code.NOT_READY, MOST_RETRY_AFTER, "a route could not be read")
         if route is None:
             return Refused(Code.NO_ROUTE)
         patience = min(arrival.patience, route.timeout)
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -41,6 +41,9 @@
     "change-accepted": "an operator's change of the policy is in force in the store",
     "change-refused": "an operator's change was not taken: a conflict, a fault or no token",
     "configuration-in-force": "a version of the configuration came into force",
+    "configuration-part-malformed": (
+        "a part of the configuration in force can't be read: skipped, or read as carefully as can be"
+    ),
     "object-malformed": "an object of the store can't be read and was skipped",
     "history-gone": "the store forgot the changes since the last read; all is listed again",
     "store-lost": "the store does not answer about one kind of object",
--- a/briarspur/platform/__main__.py
+++ b/briarspur/platform/__main__.py
@@ -9,12 +9,12 @@
 
 from briarspur.daemon import run_file
 from briarspur.gateway.app import Gateway
-from briarspur.gateway.configuration import Configuration
+from briarspur.gateway.codec import ReadConfiguration
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.registration import Registration
 from briarspur.gateway.replica import Kind
 from briarspur.gateway.settings import GatewaySettings
-from briarspur.platform import documents, lookup
+from briarspur.platform import configdocument, documents, lookup
 from briarspur.platform.calls import StoreCalls
 from briarspur.platform.dialect import PlatformDialect
 from briarspur.platform.store import PlatformStore
@@ -29,7 +29,7 @@
 class PlatformCodec:
     """Implements :class:`briarspur.gateway.codec.Codec`."""
 
-    configuration_name = documents.CONFIGURATION_NAME
+    configuration_name = configdocument.CONFIGURATION_NAME
     lookup_path = lookup.LOOKUP_PATH
     ready_path = lookup.READY_PATH
 
@@ -37,9 +37,9 @@
         """Return the part of a stored value whose change matters to entries."""
         return documents.essence(kind, value)
 
-    def configuration(self, value: Any) -> Result[Configuration, str]:
-        """Return the configuration of a stored object, or what is wrong with it."""
-        return documents.decode_configuration(value)
+    def configuration(self, value: Any) -> Result[ReadConfiguration, str]:
+        """Return what a stored configuration says, or why none of it can be used."""
+        return configdocument.decode_configuration(value)
 
     def registration(self, name: str, value: Any) -> Result[Registration, str]:
         """Return a backend server's registration, or what is wrong with it."""
--- a/briarspur/platform/documents.py
+++ b/briarspur/platform/documents.py
@@ -9,34 +9,19 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from briarspur.gateway.configuration import (
-    Configuration,
-    Limits,
-    Route,
-    RouteKind,
-    Service,
-    SplitPart,
-)
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.registration import Registration
 from briarspur.gateway.replica import Kind
+from briarspur.platform.faults import first_fault
 
 __all__ = [
-    "CONFIGURATION_NAME",
-    "decode_configuration",
     "decode_entry",
     "decode_registration",
     "encode_entry",
     "essence",
 ]
 
-CONFIGURATION_NAME = "main"
 MS = 1_000.0
-KINDS = {
-    "idempotent": RouteKind.IDEMPOTENT,
-    "non_idempotent": RouteKind.ONCE_ONLY,
-    "download": RouteKind.DOWNLOAD,
-}
 
 
 class _Spec(BaseModel):
@@ -58,56 +43,6 @@
     born: int = 0
 
 
-class _Part(_Spec):
-    service: str
-    weight: float = Field(ge=0.0)
-
-
-class _RouteSpec(_Spec):
-    host: str
-    pathPrefix: str = Field(pattern=r"^/(.*/)?$")  # noqa: N815
-    kind: str
-    timeoutMs: float = Field(gt=0.0)  # noqa: N815
-    # The time within which an answer is worth its full value.
-    latencyGoalMs: float = Field(default=1_000.0, gt=0.0)  # noqa: N815
-    priority: int = 0
-    service: str | None = None
-    trafficSplit: list[_Part] = []  # noqa: N815
-    # How many servers one request may be sent to, not how many repeats.
-    attempts: int = Field(default=1, ge=1)
-    sticky: bool = False
-    allowedRegions: list[str] = []  # noqa: N815
-
-
-class _ServiceSpec(_Spec):
-    maxConns: int = Field(default=100, ge=1)  # noqa: N815
-    warmupS: float = Field(default=0.0, ge=0.0)  # noqa: N815
-    warmupPerS: float = Field(default=0.0, ge=0.0)  # noqa: N815
-
-
-class _LimitsSpec(_Spec):
-    maxHeaderBytes: int = Field(default=16_384, ge=1)  # noqa: N815
-    maxBodyBytes: int = Field(default=1_048_576, ge=0)  # noqa: N815
-    headerTimeoutMs: float = Field(default=5_000.0, gt=0.0)  # noqa: N815
-    idleTimeoutMs: float = Field(default=60_000.0, gt=0.0)  # noqa: N815
-
-
-class _Metadata(_Spec):
-    name: str = ""
-
-
-class _Resource(_Spec):
-    # Which kind of part this is, though its name suggests a record's kind.
-    entryKind: str  # noqa: N815
-    metadata: _Metadata = _Metadata()
-    spec: dict[str, Any] = {}
-
-
-class _Configuration(_Spec):
-    version: int
-    resourceList: list[_Resource]  # noqa: N815
-
-
 class _Entry(_Spec):
     started: int
     host: str
@@ -118,24 +53,6 @@
     peer_port: int
 
 
-def decode_configuration(value: Any) -> Result[Configuration, str]:
-    """Return the configuration of a stored document."""
-    try:
-        document = _Configuration.model_validate(value)
-        routes, services, limits = [], {}, Limits()
-        for resource in document.resourceList:
-            name = resource.metadata.name
-            if resource.entryKind == "routes":
-                routes.append(_route(name, _RouteSpec.model_validate(resource.spec)))
-            elif resource.entryKind == "services":
-                services[name] = _service(name, _ServiceSpec.model_validate(resource.spec))
-            elif resource.entryKind == "limits":
-                limits = _limits(_LimitsSpec.model_validate(resource.spec))
-    except (ValidationError, ValueError) as error:
-        return Error(_short(error))
-    return Ok(Configuration(document.version, tuple(routes), services, limits))
-
-
 def essence(kind: Kind, value: Any) -> Any:
     """Return the part of a stored value whose change matters to entries.
 
@@ -151,7 +68,7 @@
     try:
         entry = _Registration.model_validate(value)
     except ValidationError as error:
-        return Error(_short(error))
+        return Error(first_fault(error))
     host, _, port = entry.address.rpartition(":")
     return Ok(
         Registration(
@@ -173,7 +90,7 @@
     try:
         entry = _Entry.model_validate(value)
     except ValidationError as error:
-        return Error(_short(error))
+        return Error(first_fault(error))
     return Ok(EntryRecord(entry_id=name, **entry.model_dump()))
 
 
@@ -188,48 +105,3 @@
         "news_port": record.news_port,
         "peer_port": record.peer_port,
     }
-
-
-def _route(name: str, spec: _RouteSpec) -> Route:
-    kind = KINDS.get(spec.kind)
-    if kind is None:
-        raise ValueError(f"route {name}: unknown kind {spec.kind!r}")
-    parts = tuple(SplitPart(p.service, p.weight) for p in spec.trafficSplit if p.weight > 0.0)
-    if not parts:
-        if not spec.service:
-            raise ValueError(f"route {name}: no service")
-        parts = (SplitPart(spec.service, 1.0),)
-    return Route(
-        name=name,
-        host=spec.host,
-        prefix=spec.pathPrefix,
-        kind=kind,
-        parts=parts,
-        timeout=spec.timeoutMs / MS,
-        goal=spec.latencyGoalMs / MS,
-        attempts=spec.attempts,
-        priority=spec.priority,
-        sticky=spec.sticky,
-        regions=frozenset(spec.allowedRegions),
-    )
-
-
-def _service(name: str, spec: _ServiceSpec) -> Service:
-    return Service(name, spec.maxConns, spec.warmupS, spec.warmupPerS)
-
-
-def _limits(spec: _LimitsSpec) -> Limits:
-    return Limits(
-        header_bytes=spec.maxHeaderBytes,
-        body_bytes=spec.maxBodyBytes,
-        header_s=spec.headerTimeoutMs / MS,
-        idle_s=spec.idleTimeoutMs / MS,
-    )
-
-
-def _short(error: Exception) -> str:
-    """Return the first fault of a document in one line."""
-    if isinstance(error, ValidationError):
-        first = error.errors(include_url=False, include_input=False)[0]
-        return f"{'.'.join(str(part) for part in first['loc'])}: {first['msg']}"
-    return str(error)
--- a/tests/gateway/test_applier.py
+++ b/tests/gateway/test_applier.py
@@ -3,15 +3,16 @@
 import unittest
 from typing import Any
 
+from briarspur.codes import Code
 from briarspur.gateway.applier import ChangeApplier
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.loadview import MemberSeen
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.replica import Kind, StoredChange
-from briarspur.gateway.steering import Attempt, Bounds
+from briarspur.gateway.steering import Attempt, Bounds, Refused
 from briarspur.platform.__main__ import PlatformCodec
-from tests.gateway.samples import begun, sent, steering
+from tests.gateway.samples import arrival, begun, sent, steering
 
 
 def entry_value() -> dict[str, Any]:
@@ -56,6 +57,40 @@
             self.applier.changed(Kind.CONFIGURATION, [StoredChange("main", 5, value)])
         self.assertEqual(1, self.steering.version)
 
+    def test_a_part_that_cant_be_read_takes_no_other_along(self) -> None:
+        """The operator adds a route that this version can't read, beside one that it can.
+
+        The whole version was refused: callers of the good route got refusals for as long as the
+        bad one stood beside it. Callers of the bad one must not be told that it doesn't exist.
+        """
+        good = {
+            "host": "quay.example",
+            "pathPrefix": "/fares/",
+            "kind": "idempotent",
+            "timeoutMs": 800,
+            "service": "info",
+        }
+        parts = [
+            {"entryKind": "routes", "metadata": {"name": "good"}, "spec": good},
+            {"entryKind": "routes", "metadata": {"name": "bad"}, "spec": {**good, "host": 7}},
+        ]
+        value = {"version": 4, "resourceList": parts}
+        with self.assertLogs(level="WARNING") as logged:
+            self.applier.changed(Kind.CONFIGURATION, [StoredChange("main", 5, value)])
+        self.assertIn("configuration-part-malformed", "".join(logged.output))
+        self.assertEqual((4, 1), (self.steering.version, self.applier.parts_malformed))
+        begun(self.steering, path="/fares/x")
+        unknown = self.steering.begin(arrival(path="/bad/x"), 0.0)
+        assert isinstance(unknown, Refused)
+        self.assertIs(Code.NOT_READY, unknown.code)
+        self.assertIsNotNone(unknown.retry_after)
+
+    def test_a_configuration_without_any_usable_route_leaves_the_last_one_in_force(self) -> None:
+        bad = {"entryKind": "routes", "metadata": {"name": "bad"}, "spec": {}}
+        value = {"version": 4, "resourceList": [bad]}
+        self.applier.changed(Kind.CONFIGURATION, [StoredChange("main", 5, value)])
+        self.assertEqual((1, 1), (self.steering.version, self.applier.malformed))
+
     def test_retries_are_shared_with_entries_that_are_silent(self) -> None:
         """A third of the fleet is stopped in turn while all servers reject half of the requests.
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,11 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from briarspur.gateway.configuration import RouteKind, SplitPart
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.replica import Kind
 from briarspur.platform.documents import (
-    decode_configuration,
     decode_entry,
     decode_registration,
     encode_entry,
@@ -37,22 +35,6 @@
 )
 
 
-def route(**spec: Any) -> dict[str, Any]:
-    whole = {
-        "host": "quay.example",
-        "pathPrefix": "/times/",
-        "kind": "idempotent",
-        "timeoutMs": 800,
-        "latencyGoalMs": 250,
-        "priority": 1,
-        "service": "info",
-        "attempts": 2,
-        "sticky": True,
-        "allowedRegions": [],
-    }
-    return {"entryKind": "routes", "metadata": {"name": "r-1"}, "spec": {**whole, **spec}}
-
-
 class RegistrationTest(unittest.TestCase):
     """One server that can't be read harms no other."""
 
@@ -83,7 +65,6 @@
     def test_anything_is_read_or_refused(self, value: Any) -> None:
         decode_registration("t-1", value)
         decode_entry("e-1", value)
-        decode_configuration(value)
 
     def test_a_renewal_changes_nothing_that_matters(self) -> None:
         renewed = {**SERVER, "seq": 5}
@@ -92,48 +73,6 @@
         self.assertNotEqual(essence(Kind.TARGETS, SERVER), essence(Kind.TARGETS, cold))
 
 
-class ConfigurationTest(unittest.TestCase):
-    """The whole document, or a reason."""
-
-    def test_routes_services_and_limits(self) -> None:
-        document = {
-            "version": 7,
-            "baseVersion": 5,
-            "resourceList": [
-                route(),
-                route(
-                    kind="non_idempotent",
-                    service=None,
-                    trafficSplit=[
-                        {"service": "info", "weight": 90},
-                        {"service": "other", "weight": 10},
-                        {"service": "none", "weight": 0},
-                    ],
-                ),
-                {
-                    "entryKind": "services",
-                    "metadata": {"name": "info"},
-                    "spec": {"maxConns": 360, "warmupS": 3.0, "warmupPerS": 11.0, "tls": False},
-                },
-                {"entryKind": "limits", "metadata": {}, "spec": {"idleTimeoutMs": 15000}},
-                {"entryKind": "new-kind", "metadata": {}, "spec": {"x": 1}},
-            ],
-        }
-        read = decode_configuration(document).ok
-        plain, split = read.routes
-        self.assertEqual((0.8, 0.25, 2), (plain.timeout, plain.goal, plain.attempts))
-        self.assertIs(RouteKind.ONCE_ONLY, split.kind)
-        self.assertEqual((SplitPart("info", 90.0), SplitPart("other", 10.0)), split.parts)
-        self.assertEqual(11.0, read.services_by_name["info"].cold_per_s)
-        self.assertEqual(15.0, read.limits.idle_s)
-
-    def test_a_route_that_leads_nowhere_is_a_fault(self) -> None:
-        for spec in ({"service": None}, {"kind": "daily"}, {"pathPrefix": "times"}):
-            with self.subTest(spec):
-                document = {"version": 1, "resourceList": [route(**spec)]}
-                self.assertTrue(decode_configuration(document).is_error())
-
-
 class EntryTest(unittest.TestCase):
     """What an entry writes, others read."""
 
