End the belief that the store is away by what others say of their reads

Cause: an entry that lost the store in a cut, and then left reading to others, never called it again. Departures there took the store as away for as long as the process lived and held each vanished registration for 2.2 s; Sync.failing stayed true likewise.

Ruled out: late pulls (the change arrived 0.75 s after its acknowledgement), clock, hold of a real outage (none near).

Change: StoreAvailability keeps the latest moment at which the store answered anybody; news say how old the sender's read is, so they end an outage here too. A failed call counts as a belief for 4 s, after which whoever still asks has asked again. store-away, store-back and target-hold-ended are logged.

Tests that failed first: the belief ended by others, the cut of one entry only, the old failure. Two older tests now say 'the store goes on answering' and 'the call failed' by the new types' calls.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -11,6 +11,7 @@
 from briarspur.coord.errors import StoreError
 from briarspur.coord.members import Address
 from briarspur.gateway.applier import ChangeApplier
+from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.codec import Codec
 from briarspur.gateway.configuration import Configuration
 from briarspur.gateway.dialect import Dialect
@@ -106,8 +107,14 @@
         connections = int((settings.descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE)
         self.front = Front(self._reactor, self, settings.memory_mb * MB, connections)
         self._services = Services(self.steering, self.pool, self._reactor, dialect, self.log)
+        availability = StoreAvailability()
         self.applier = ChangeApplier(
-            self.steering, self.fleet, codec, self._reactor.seconds, self._configured
+            self.steering,
+            self.fleet,
+            codec,
+            self._reactor.seconds,
+            availability,
+            self._configured,
         )
         self.news_port = NewsPort(self._heard)
         self.gossip = Gossip(
@@ -126,6 +133,7 @@
             self._rng,
             self._peer_address,
             self._seeds(),
+            availability,
         )
         self.syncs = {kind: self._make_sync(kind) for kind in FOLLOWED}
         self.following.syncs = self.syncs
@@ -249,14 +257,10 @@
             self._rng,
             self.following.gate,
             self._changed,
-            self._store_reachable,
+            self.following.store_answered,
             self._reactor.seconds,
         )
 
-    def _store_reachable(self, kind: Kind, reachable: bool) -> None:
-        self.applier.store_reachable(kind, reachable)
-        self.following.store_answered(kind, reachable)
-
     async def _record_self(self) -> None:
         """Write where this entry is, so that others find it."""
         value = self._codec.entry_value(self.me)
--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from briarspur import logs
+from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.codec import Codec
 from briarspur.gateway.configuration import Configuration
 from briarspur.gateway.departures import Departures
@@ -19,6 +20,8 @@
 
     Parameters
     ----------
+    availability : StoreAvailability
+        Tells whether a registration that vanishes may only have lapsed.
     on_configuration : callable
         Told of each configuration that came into force.
     """
@@ -29,6 +32,7 @@
         fleet: Fleet,
         codec: Codec,
         clock: Callable[[], float],
+        availability: StoreAvailability,
         on_configuration: Callable[[Configuration], None],
     ) -> None:
         self._steering = steering
@@ -36,7 +40,8 @@
         self._codec = codec
         self._clock = clock
         self._on_configuration = on_configuration
-        self._departures = Departures()
+        self._availability = availability
+        self._departures = Departures(availability)
         self._evacuated: set[str] = set()
         self.malformed = 0
         self.parts_malformed = 0
@@ -56,14 +61,12 @@
                 for change in changes:
                     self._entry(change)
 
-    def store_reachable(self, kind: Kind, reachable: bool) -> None:
-        """Note whether the store answers about a kind."""
-        if kind is Kind.TARGETS:
-            self._departures.store_reachable(reachable, self._clock())
-
     def tick(self) -> None:
         """Remove targets whose registrations did not come back in time."""
-        for name in self._departures.due(self._clock()):
+        now = self._clock()
+        self._availability.tick(now)
+        for name in self._departures.due(now):
+            logs.event("target-hold-ended", target=name)
             self._steering.targets.removed(name)
 
     def _configuration(self, change: StoredChange) -> None:
--- a/briarspur/gateway/departures.py
+++ b/briarspur/gateway/departures.py
@@ -1,5 +1,7 @@
 """When a target whose registration vanished is taken as gone."""
 
+from briarspur.gateway.availability import StoreAvailability
+
 __all__ = ["Departures"]
 
 RETURN_TIME = 2.2
@@ -15,23 +17,17 @@
     back. A server that really left meanwhile refuses connections, so little is lost by the wait.
     """
 
-    def __init__(self) -> None:
-        self._reachable = True
-        self._returned_at = float("-inf")
+    def __init__(self, availability: StoreAvailability) -> None:
+        self._availability = availability
         self._held: dict[str, float] = {}
 
-    def store_reachable(self, reachable: bool, now: float) -> None:
-        """Note whether the store answers."""
-        if reachable and not self._reachable:
-            self._returned_at = now
-        self._reachable = reachable
-
     def vanished(self, name: str, now: float) -> bool:
         """Return whether a target may be removed at once; otherwise it is held."""
-        due = self._returned_at + RETURN_TIME
-        if self._reachable and now >= due:
+        away = self._availability.is_away(now)
+        due = (now if away else self._availability.returned_at) + RETURN_TIME
+        if now >= due:
             return True
-        self._held[name] = max(due, now + RETURN_TIME if not self._reachable else due)
+        self._held[name] = due
         return False
 
     def returned(self, name: str) -> None:
--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -8,6 +8,7 @@
 from briarspur import logs
 from briarspur.coord.members import Address
 from briarspur.errors import PeerError
+from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.gossip import Gossip
 from briarspur.gateway.loadview import News
 from briarspur.gateway.pull import PullClient
@@ -50,6 +51,7 @@
         rng: random.Random,
         address_of: Callable[[str], Address | None],
         seeds: Iterable[Address],
+        availability: StoreAvailability,
     ) -> None:
         self.syncs: Mapping[Kind, Sync] = {}
         self._gossip = gossip
@@ -58,6 +60,7 @@
         self._rng = rng
         self._address_of = address_of
         self._seeds = tuple(seeds)
+        self._availability = availability
         self._began = clock()
         self._settled_at = float("inf")
         self._confirmed_at = float("-inf")
@@ -116,6 +119,8 @@
                 if other is not kind:
                     sync.doubt()
             return
+        if kind is Kind.TARGETS:
+            self._availability.answered(now)
         if kind is Kind.ENTRIES and self._settled_at == float("inf"):
             self._settled_at = now + SETTLE
         if kind is Kind.TARGETS and all(sync.is_current(now) for sync in self.syncs.values()):
@@ -123,6 +128,7 @@
 
     def heard(self, news: News) -> None:
         """Take another entry's knowledge: what it has beyond this one's is pulled."""
+        self._availability.answered(self._clock() - news.store_age)
         # A copy is complete up to its revision, so only a later change can be missing. The latest
         # significant revision here is no measure: it may be that of a renewal which brought an
         # earlier change along, and would hide another server's change between the two.
--- a/briarspur/gateway/sync.py
+++ b/briarspur/gateway/sync.py
@@ -19,6 +19,12 @@
 2.5 s of its acknowledgement, also one made just when the store is back."""
 
 
+FAILURE_BELIEVED = 4.0
+"""Seconds for which a failed call tells that the store does not answer. Whoever still asks does so
+every 3.3 s at the latest, so a belief that is older is that of an entry which asks no more: it lost
+the store in a cut, left reading to others, and took the store as failing for as long as it ran."""
+
+
 class _DoubtError(Exception):
     """The call was given up because the store may be silent."""
 
@@ -77,6 +83,7 @@
         self._on_reachable = on_reachable
         self._clock = clock
         self._failures = 0
+        self._failed_at = float("-inf")
         self._lost_at: float | None = None
         self.current_at = float("-inf")
         self._call: asyncio.Task[Batch] | None = None
@@ -86,8 +93,8 @@
 
     @property
     def failing(self) -> bool:
-        """Whether the store did not answer the last call."""
-        return self._failures > 0
+        """Whether the store did not answer the last call, and that was lately."""
+        return self._failures > 0 and self._clock() - self._failed_at <= FAILURE_BELIEVED
 
     def is_current(self, now: float) -> bool:
         """Return whether a change would be known by now: a watch is open, or just ended."""
@@ -166,6 +173,7 @@
 
     def _failed(self, error: StoreError) -> None:
         self._failures += 1
+        self._failed_at = self._clock()
         self.failed_calls += 1
         if self._lost_at is None:
             self._lost_at = self._clock()
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -42,8 +42,11 @@
     "change-refused": "an operator's change was not taken: a conflict, a fault or no token",
     "configuration-in-force": "a version of the configuration came into force",
     "configuration-part-malformed": (
-        "a part of the configuration in force can't be read: skipped, or read as carefully as can be"
+        "a part of the configuration in force can't be read: skipped, or read carefully"
     ),
+    "store-away": "no entry is known to have had an answer of the store for a while",
+    "store-back": "the store answers again after an outage; what vanished in it is held a while",
+    "target-hold-ended": "a vanished registration did not come back after an outage of the store",
     "object-malformed": "an object of the store can't be read and was skipped",
     "history-gone": "the store forgot the changes since the last read; all is listed again",
     "store-lost": "the store does not answer about one kind of object",
--- a/tests/gateway/test_applier.py
+++ b/tests/gateway/test_applier.py
@@ -5,6 +5,7 @@
 
 from briarspur.codes import Code
 from briarspur.gateway.applier import ChangeApplier
+from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.loadview import MemberSeen
@@ -29,7 +30,12 @@
         self.steering = steering(0, bounds=bounds)
         self.fleet = Fleet(EntryRecord("me", 1, "127.0.0.1", "a-1", "a", 80, 81, 82))
         self.applier = ChangeApplier(
-            self.steering, self.fleet, PlatformCodec(), lambda: self.now, lambda accepted: None
+            self.steering,
+            self.fleet,
+            PlatformCodec(),
+            lambda: self.now,
+            StoreAvailability(),
+            lambda accepted: None,
         )
 
     def target(self, name: str, revision: int, **changes: Any) -> None:
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -1,15 +1,26 @@
-"""Tests of registrations that vanish."""
+"""Tests of registrations that vanish, and of the belief about the store that decides on them."""
 
 import unittest
 
+from briarspur.gateway.availability import OUTAGE, StoreAvailability
 from briarspur.gateway.departures import RETURN_TIME, Departures
 
 
 class DeparturesTest(unittest.TestCase):
     """A store that was away takes no server with it."""
 
+    def setUp(self) -> None:
+        self.availability = StoreAvailability()
+        self.departures = Departures(self.availability)
+
+    def answered_until(self, now: float) -> None:
+        for tick in range(int(now)):
+            self.availability.answered(float(tick + 1))
+
     def test_what_vanishes_while_the_store_works_is_gone_at_once(self) -> None:
-        self.assertTrue(Departures().vanished("t-1", 10.0))
+        self.assertTrue(self.departures.vanished("t-1", 10.0))
+        self.answered_until(20.0)
+        self.assertTrue(self.departures.vanished("t-1", 20.5))
 
     def test_registrations_that_lapsed_in_an_outage_are_kept_for_their_return(self) -> None:
         """The store is down for eight seconds, and registrations lapse that nobody could renew.
@@ -17,12 +28,42 @@
         Its first list then names no server. Every request was refused for two seconds, until the
         servers, which had run all the while, were registered again.
         """
-        departures = Departures()
-        departures.store_reachable(False, 10.0)
-        departures.store_reachable(True, 18.0)
+        departures = self.departures
+        self.answered_until(10.0)
+        self.availability.answered(18.0)
         self.assertFalse(departures.vanished("lives", 18.1))
         self.assertFalse(departures.vanished("gone", 18.1))
         departures.returned("lives")
         self.assertEqual([], departures.due(18.0 + RETURN_TIME - 0.1))
         self.assertEqual(["gone"], departures.due(18.0 + RETURN_TIME + 0.1))
+        for later in (19.0, 20.0):
+            self.availability.answered(later)
         self.assertTrue(departures.vanished("lives", 18.0 + RETURN_TIME + 0.1))
+
+    def test_what_vanishes_in_the_outage_itself_is_held(self) -> None:
+        self.answered_until(10.0)
+        self.assertTrue(self.availability.is_away(10.1 + OUTAGE))
+        self.assertFalse(self.departures.vanished("t-1", 10.1 + OUTAGE))
+
+    def test_others_end_the_belief_of_an_entry_that_asks_no_more(self) -> None:
+        """A server leaves, and one entry sends callers' requests to it for 2.7 s more.
+
+        The entry had been cut off from the store and, back again, left reading to others. Nobody
+        cleared its belief that the store was away, so it held every vanished registration back.
+        Now what the others say of their reads ends it.
+        """
+        self.answered_until(8.0)
+        for tick in range(20):
+            # Their news, 1 s old each.
+            self.availability.answered(9.6 + tick)
+        self.assertEqual(float("-inf"), self.availability.returned_at)
+        self.assertTrue(self.departures.vanished("t-1", 29.0))
+
+    def test_a_cut_of_one_entry_only_holds_nothing_back(self) -> None:
+        """The others go on reading, so registrations lapse for no other reason than their servers.
+
+        The entry's own calls fail for nine seconds while it hears fresh news all the while.
+        """
+        for tick in range(90):
+            self.availability.answered(10.0 + tick / 10.0 - 0.8)
+        self.assertTrue(self.departures.vanished("t-1", 19.0))
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -7,6 +7,7 @@
 
 from briarspur.coord.errors import StoreUnavailableError
 from briarspur.coord.members import Address
+from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.following import FRESH, Following
@@ -92,6 +93,7 @@
             random.Random(number),
             lambda entry: Address(HOST, self.port_of[entry]) if entry in self.port_of else None,
             (),
+            StoreAvailability(),
         )
         self.syncs = {
             kind: Sync(
@@ -312,7 +314,7 @@
             following.heard(reader.news(60))
             await asyncio.sleep(0.1)
             self.assertLess(other.syncs[Kind.TARGETS].replica.revision, 190, "it asks the store")
-            other.syncs[Kind.TARGETS]._failures = 1
+            other.syncs[Kind.TARGETS]._failed(StoreUnavailableError("cut off"))
             following.heard(reader.news(61))
             await eventually(lambda: other.syncs[Kind.TARGETS].replica.revision == 190)
             await other.close()
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -8,7 +8,7 @@
 from briarspur.coord.errors import StoreUnavailableError
 from briarspur.gateway.objectsource import HistoryGoneError
 from briarspur.gateway.replica import Batch, Kind, Replica, StoredChange
-from briarspur.gateway.sync import Pace, Sync
+from briarspur.gateway.sync import FAILURE_BELIEVED, Pace, Sync
 from tests.loop import LoopTestCase, eventually
 
 
@@ -137,3 +137,24 @@
             task.cancel()
 
         self.run_on_loop(work())
+
+    def test_an_old_failure_is_no_belief_about_the_store(self) -> None:
+        """An entry loses the store in a cut, and then leaves reading to others.
+
+        It never called the store again, so its last call remained a failure. It went on as an entry
+        that the store does not answer, long after the cut.
+        """
+
+        async def work() -> None:
+            source = FakeSource()
+            sync = self.make(source)
+            task = asyncio.ensure_future(sync.run())
+            source.answers.put_nowait(StoreUnavailableError("cut off"))
+            await eventually(lambda: sync.failing)
+            sync._gate = lambda kind: 60.0
+            now = asyncio.get_running_loop().time()
+            sync._clock = lambda: now + FAILURE_BELIEVED + 0.1
+            self.assertFalse(sync.failing)
+            task.cancel()
+
+        self.run_on_loop(work())
