Let suspicion and trouble of a server lapse

Cause, found by asking of each belief who clears it if its setter never runs again: a server was suspected until its next answer. For requests that can't be repeated that counts as 2 s, so a service with no other requests never sent to it again after one lost answer. Trouble (the share of bad answers) likewise.

Change: suspicion ends 6 s after the last failure, trouble is forgotten like speed.

--- a/briarspur/gateway/breaker.py
+++ b/briarspur/gateway/breaker.py
@@ -10,7 +10,9 @@
 bounds both what is lost on trials (one in 4 s) and how late a return is seen.
 """
 LAPSE = 6.0
-"""Seconds without a failure after which earlier ones no longer count."""
+"""Seconds without a failure after which earlier ones no longer count, nor make a server suspected.
+A suspected server gets no request that can't be repeated while another one is free, and a service
+with no other requests never sent it one again: one lost answer put it out of use for good."""
 
 
 class Breaker:
@@ -30,10 +32,9 @@
             return False
         return not (self._failures and self._trial)
 
-    @property
-    def suspected(self) -> bool:
-        """Whether the last that was seen of the server is a failure."""
-        return self._failures > 0
+    def suspected(self, now: float) -> bool:
+        """Tell whether the last that was seen of the server is a failure, and that was lately."""
+        return self._failures > 0 and now - self._failed_at <= LAPSE
 
     def sent(self) -> None:
         """Note a request; after failures it is the one trial."""
--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -193,12 +193,12 @@
             wait = max(0, load + 1 - slots) * mean * speed / slots
             work = times.expected(warm) * speed
             transit = self._transit(target)
-            cost = (transit + wait + work) * (1.0 + TROUBLE_COST * target.trouble)
+            cost = (transit + wait + work) * (1.0 + TROUBLE_COST * target.current_trouble(now))
             cost += (wish.size + times.size) * self._transit.byte_cost(target)
             if not warm:
                 cost += COLD_COST * (times.cold - times.warm)
                 cost += RANK_COST * times.cold * candidate.place
-            if not route.repeatable and target.breaker.suspected:
+            if not route.repeatable and target.breaker.suspected(now):
                 cost += SUSPECT_COST
             if cost < least:
                 least = cost
@@ -208,7 +208,7 @@
     def _is_newcomer(
         self, target: Target, targets: Sequence[Target], wish: Wish, now: float
     ) -> bool:
-        if target.load > 0 or target.cold_until > now or target.breaker.suspected:
+        if target.load > 0 or target.cold_until > now or target.breaker.suspected(now):
             return False
         if now - target.invited_at < INVITE_PAUSE or not wish.route.repeatable:
             return False
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -31,9 +31,10 @@
 
 
 def _targets(page: Exposition, gateway: "Gateway") -> None:
+    now = gateway.pool.seconds()
     for service, targets in sorted(gateway.steering.targets.by_service.items()):
         page.value("targets", len(targets), service=service)
-        suspected = sum(target.breaker.suspected for target in targets)
+        suspected = sum(target.breaker.suspected(now) for target in targets)
         page.value("targets_suspected", suspected, service=service)
         page.value("in_flight", sum(target.load for target in targets), service=service)
 
--- a/briarspur/gateway/requestlog.py
+++ b/briarspur/gateway/requestlog.py
@@ -94,7 +94,7 @@
             detail=detail or None,
             seconds=f"{seconds:.3f}",
             expected=f"{attempt.expected:.3f}",
-            suspected="yes" if attempt.target.breaker.suspected else None,
+            suspected="yes" if attempt.target.breaker.suspected(now) else None,
         )
 
     def request_ended(
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -225,7 +225,7 @@
         wish = Wish(work.route, work.service, work.key, work.tried, work.size)
         choice = self._chooser.choose(wish, targets, self.targets.epoch, now)
         if choice is None:
-            suspected = sum(target.breaker.suspected for target in targets)
+            suspected = sum(target.breaker.suspected(now) for target in targets)
             detail = f"all {len(targets)} targets full or paused, {suspected} suspected"
             return Refused(Code.OVERLOADED, self._retry_after(work), detail)
         if not self._is_worthwhile(work, choice, now):
@@ -267,12 +267,12 @@
         match outcome:
             case Outcome.ANSWERED | Outcome.SERVER_ERROR:
                 target.breaker.succeeded()
-                target.learn_trouble(outcome is Outcome.SERVER_ERROR)
+                target.learn_trouble(outcome is Outcome.SERVER_ERROR, now)
                 if outcome is Outcome.ANSWERED:
                     self._learn(attempt, now)
             case Outcome.REJECTED | Outcome.INVALID:
                 target.breaker.trial_ended()
-                target.learn_trouble(True)
+                target.learn_trouble(True, now)
             case Outcome.MISDIRECTED:
                 self.targets.misdirected(target)
             case Outcome.NOT_SENT | Outcome.LOST:
--- a/briarspur/gateway/target.py
+++ b/briarspur/gateway/target.py
@@ -17,8 +17,9 @@
 FASTEST = 0.3
 """Bounds of the mean speed, so that one sample can't put a server out of use for long."""
 FORGET_PER_S = 0.25
-"""Share of the deviation from normal speed forgotten in a second without requests; a server that
-was avoided as slow is tried again after some seconds."""
+"""Share of the deviation from normal speed, and of the trouble, forgotten in a second without
+requests; a server that was avoided is tried again after some seconds. Trouble that only answers
+could end kept a server avoided for as long as the others had room."""
 
 
 def target_number(target_id: str, born: int) -> int:
@@ -47,6 +48,7 @@
 
     __slots__ = (
         "_speed_at",
+        "_trouble_at",
         "breaker",
         "cold_rate",
         "cold_until",
@@ -77,15 +79,24 @@
         self.cold_until = now + registration.cold_s
         self.cold_rate: TokenBucket | None = None
         self._speed_at = now
+        self._trouble_at = now
 
     @property
     def load(self) -> int:
         """Requests of all entries that it has, as far as known."""
         return self.in_flight + self.elsewhere
 
-    def learn_trouble(self, troubled: bool) -> None:
+    def learn_trouble(self, troubled: bool, now: float) -> None:
         """Take whether an answer was a rejection or could not be used."""
-        self.trouble += TROUBLE_WEIGHT * (float(troubled) - self.trouble)
+        current = self.current_trouble(now)
+        self.trouble = current + TROUBLE_WEIGHT * (float(troubled) - current)
+        self._trouble_at = now
+
+    def current_trouble(self, now: float) -> float:
+        """Return the mean trouble, forgotten by the time since the last answer."""
+        if self.trouble == 0.0:
+            return 0.0
+        return self.trouble * max(0.0, 1.0 - FORGET_PER_S * (now - self._trouble_at))
 
     def learn_speed(self, ratio: float, now: float) -> None:
         """Take the ratio of a measured time to the expected one."""
--- a/tests/gateway/test_steering.py
+++ b/tests/gateway/test_steering.py
@@ -4,9 +4,11 @@
 from collections import Counter
 
 from briarspur.codes import Code
+from briarspur.gateway.breaker import LAPSE
 from briarspur.gateway.configuration import RouteKind
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.steering import STARTING_RETRY_AFTER, Attempt, Bounds, Refused, Steering
+from briarspur.gateway.target import FORGET_PER_S
 from tests.gateway.samples import (
     ZONE_REGIONS,
     arrival,
@@ -114,6 +116,35 @@
         made.ended(again, Outcome.ANSWERED, 1.36)
         self.assertIn(work.key, again.target.warmth, "nobody else has it")
 
+    def test_one_lost_answer_does_not_put_a_server_out_of_use_for_bookings(self) -> None:
+        """One answer of a booking server is lost, and it never gets a booking again.
+
+        It was suspected from then on, which counted as 2 s, and only an answer would have ended
+        that. No other requests go to that service, so its load stayed on the other servers.
+        """
+        made = steering(2, [BOOKING], slots=4)
+        work = begun(made, path="/booking/x")
+        lost = sent(made, work)
+        made.ended(lost, Outcome.LOST, 0.3)
+        at_once = sent(made, begun(made, now=1.0, path="/booking/x"), 1.0)
+        self.assertIsNot(lost.target, at_once.target)
+        made.ended(at_once, Outcome.ABANDONED, 1.1)
+        later = 0.3 + LAPSE + 0.1
+        again = {
+            sent(made, begun(made, now=later, key=b"%d" % n, path="/booking/x"), later).target
+            for n in range(4)
+        }
+        self.assertIn(lost.target, again)
+
+    def test_trouble_is_forgotten_without_answers(self) -> None:
+        """A server fails for some seconds and is avoided from then on, though it works again."""
+        made = steering(1)
+        target = made.targets.by_service["info"][0]
+        for _ in range(20):
+            target.learn_trouble(True, 10.0)
+        self.assertGreater(target.current_trouble(10.0), 0.8)
+        self.assertEqual(0.0, target.current_trouble(10.0 + 1.0 / FORGET_PER_S))
+
     def test_regions_of_a_route_bind(self) -> None:
         made = steering(0, [route(regions=frozenset({"b"}))])
         made.targets.registered(registration("near", zone="a-1"), 0.0)
