--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,187 @@
+"""Switch off one mechanism at a time in a copy of the tree, and measure what it was worth.
+
+``python tools/ablation.py --program PATH --site FILE --days scale-1 scale-2 --scratch DIR`` clones
+the repository once for each mechanism, replaces it there by its plain form, plays the days with the
+deployment's measuring program and prints one table. The product has no switch for any of this. The
+row ``unchanged`` is played as often as the others; with several seeds its spread is the noise.
+"""
+
+import argparse
+import json
+import shutil
+import subprocess
+import sys
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+__all__ = ["MECHANISMS", "UNCHANGED", "Measured", "Mechanism", "apply", "table"]
+
+ROOT = Path(__file__).resolve().parent.parent
+GATEWAY = Path("briarspur/gateway")
+BUILT = "target"
+
+
+@dataclass(frozen=True, slots=True)
+class Mechanism:
+    """What is switched off: in a file of the gateway, one text stands for another."""
+
+    name: str
+    file: str = ""
+    old: str = ""
+    new: str = ""
+
+
+UNCHANGED = Mechanism("unchanged")
+MECHANISMS = (
+    UNCHANGED,
+    Mechanism("refusing what would wait and be late", "admission.py", "finish <= goal:", "True:"),
+    Mechanism(
+        "bound on spreading", "admission.py", "SPREAD_PRESSURE = 0.8", "SPREAD_PRESSURE = 99.0"
+    ),
+    Mechanism("replicas", "admission.py", "REPLICA_PRESSURE = 0.6", "REPLICA_PRESSURE = -1.0"),
+    Mechanism(
+        "bound on replicas", "admission.py", "REPLICA_PRESSURE = 0.6", "REPLICA_PRESSURE = 99.0"
+    ),
+    Mechanism("cost of bytes", "transit.py", "ZONE_BYTE = 3.0e-6", "ZONE_BYTE = 0.0"),
+    Mechanism("order of preference", "chooser.py", "RANK_COST = 0.05", "RANK_COST = 0.0"),
+    Mechanism("cost of cold runs", "chooser.py", "COLD_COST = 0.5", "COLD_COST = 0.0"),
+    Mechanism("weight of trouble", "chooser.py", "TROUBLE_COST = 4.0", "TROUBLE_COST = 0.0"),
+    Mechanism("suspicion", "chooser.py", "SUSPECT_COST = 2.0", "SUSPECT_COST = 0.0"),
+    Mechanism("newcomers", "chooser.py", "NEWCOMER_SHARE = 0.5", "NEWCOMER_SHARE = -1.0"),
+    Mechanism("hedging", "steering.py", "HEDGE_SHARE = 0.5", "HEDGE_SHARE = 0.0"),
+    Mechanism("breaker", "breaker.py", "FIRST_PAUSE = 0.4", "FIRST_PAUSE = 0.0"),
+    Mechanism("load news", "loadview.py", "STALE = 1.5", "STALE = -1.0"),
+    Mechanism("kept connections", "pool.py", "KEPT_IDLE = 8.0", "KEPT_IDLE = 0.0"),
+    Mechanism("held departures", "departures.py", "RETURN_TIME = 2.2", "RETURN_TIME = -9e9"),
+    Mechanism(
+        "warm record in the store",
+        "warmthkeeper.py",
+        "self._loads.remembered(",
+        "(lambda pairs: None)(",
+    ),
+    Mechanism("forgotten objects", "steering.py", "target.warmth.discard(key)", "pass"),
+)
+"""Each replacement must apply exactly once; a test holds the list to the sources."""
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """One day under one mechanism's absence; ``worth`` is None if the day gave no report."""
+
+    mechanism: str
+    day: str
+    seed: int
+    worth: float | None
+    in_time: float = 0.0
+    refused: float = 0.0
+    broken: str = ""
+
+
+def apply(mechanism: Mechanism, tree: Path) -> None:
+    """Switch a mechanism off in a tree.
+
+    Raises
+    ------
+    ValueError
+        The text to be replaced does not stand there exactly once.
+    """
+    if not mechanism.file:
+        return
+    path = tree / GATEWAY / mechanism.file
+    source = path.read_text()
+    found = source.count(mechanism.old)
+    if found != 1:
+        raise ValueError(f"{mechanism.name}: {mechanism.old!r} stands {found} times in {path.name}")
+    path.write_text(source.replace(mechanism.old, mechanism.new))
+
+
+def copy_of(mechanism: Mechanism, scratch: Path) -> Path:
+    """Return a fresh clone in which a mechanism is switched off."""
+    tree = scratch / mechanism.name.replace(" ", "-")
+    shutil.rmtree(tree, ignore_errors=True)
+    subprocess.run(["git", "clone", "--quiet", str(ROOT), str(tree)], check=True)
+    if (ROOT / BUILT).exists():
+        shutil.copytree(ROOT / BUILT, tree / BUILT)
+        (tree / BUILT / "deps").touch()
+    apply(mechanism, tree)
+    return tree
+
+
+def measure(
+    program: Path, site: Path, tree: Path, mechanism: Mechanism, day: str, seed: int
+) -> Measured:
+    """Play one day in a copy."""
+    report = tree.parent / f"{tree.name}-{day}-{seed}.json"
+    report.unlink(missing_ok=True)
+    command = [str(program), "run", str(site), day, "--report", str(report)]
+    if seed:
+        command += ["--seed", str(seed)]
+    command += ["--why", f"ablation: without {mechanism.name}"]
+    subprocess.run(command, cwd=tree, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    if not report.exists():
+        print(f"{mechanism.name}, {day}, seed {seed}: no report", file=sys.stderr)
+        return Measured(mechanism.name, day, seed, None)
+    read = json.loads(report.read_text())
+    whole = read["all"]
+    asked = max(1, whole["n"])
+    broken = ", ".join(f"{rule} {count}" for rule, count in read["breaks"].items())
+    return Measured(
+        mechanism.name,
+        day,
+        seed,
+        read["G"],
+        whole["in_aim"] / asked,
+        whole["refused"] / asked,
+        broken,
+    )
+
+
+def table(results: Iterable[Measured]) -> str:
+    """Return the results as a table, a row for each mechanism and day."""
+    lines = [
+        "| switched off | day | seed | worth | in time | refused | rules broken |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for item in results:
+        head = f"| {item.mechanism} | {item.day} | {item.seed or 'its own'} |"
+        if item.worth is None:
+            lines.append(f"{head} no report | - | - | - |")
+            continue
+        lines.append(
+            f"{head} {item.worth:.3f} | {item.in_time:.3f} | {item.refused:.3f} | "
+            f"{item.broken or '-'} |"
+        )
+    return "\n".join(lines)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the experiment and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", type=Path, required=True, help="plays a day of a deployment")
+    parser.add_argument("--site", type=Path, required=True)
+    parser.add_argument("--days", nargs="+", required=True)
+    parser.add_argument("--seeds", nargs="+", type=int, default=[0], help="0: the day's own")
+    parser.add_argument("--scratch", type=Path, required=True, help="where the copies are made")
+    parser.add_argument("--only", nargs="+", default=[], help="names of mechanisms")
+    parser.add_argument("--jobs", type=int, default=4)
+    arguments = parser.parse_args(argv)
+    chosen = [item for item in MECHANISMS if not arguments.only or item.name in arguments.only]
+    arguments.scratch.mkdir(parents=True, exist_ok=True)
+    trees = {item.name: copy_of(item, arguments.scratch) for item in chosen}
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        runs = [
+            pool.submit(
+                measure, arguments.program, arguments.site, trees[item.name], item, day, seed
+            )
+            for item in chosen
+            for day in arguments.days
+            for seed in arguments.seeds
+        ]
+        print(table(run.result() for run in runs))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
