--- /dev/null
+++ b/standins/objectstate.py
@@ -0,0 +1,179 @@
+"""What the stand-in for the platform's store keeps: objects, revisions and the latest changes."""
+
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+__all__ = ["PAGE", "CallError", "Change", "Objects"]
+
+PAGE = 50
+"""Objects in one answer to a list."""
+HISTORY = 2_000
+"""Changes that can be watched from; earlier ones are forgotten."""
+
+
+class CallError(Exception):
+    """A call that is answered with a status of its own."""
+
+    def __init__(self, status: int, body: object = None) -> None:
+        super().__init__(status)
+        self.status = status
+        self.body = body if body is not None else {"error": status}
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One write, or one deletion."""
+
+    revision: int
+    kind: str
+    deleted: bool
+    item: dict[str, Any]
+    at: float
+
+
+@dataclass(slots=True)
+class Objects:
+    """Objects by kind and name, and the latest changes."""
+
+    revision: int = 1
+    by_kind: dict[str, dict[str, dict[str, Any]]] = field(default_factory=lambda: defaultdict(dict))
+    changes: list[Change] = field(default_factory=list)
+    forgotten: int = 0
+    clock: Callable[[], float] = time.monotonic
+
+    def page(self, kind: str, after: str, stale: float = 0.0) -> dict[str, Any]:
+        """Return a page of a kind's objects, as they were ``stale`` seconds ago."""
+        by_name = self._as_of(kind, stale)
+        names = sorted(name for name in by_name if name > after)
+        return {
+            "items": [by_name[name] for name in names[:PAGE]],
+            "hasMore": len(names) > PAGE,
+            "storeRevision": self.revision,
+        }
+
+    def get(self, kind: str, name: str, stale: float = 0.0) -> dict[str, Any]:
+        """Return an object, as it was ``stale`` seconds ago."""
+        found = self._as_of(kind, stale).get(name)
+        if found is None:
+            raise CallError(404)
+        return found
+
+    def history(self, kind: str, name: str) -> list[Any]:
+        """Return the latest values of an object, the oldest first."""
+        return [
+            change.item["spec"]
+            for change in self.changes
+            if change.kind == kind and not change.deleted and _name(change.item) == name
+        ]
+
+    def _as_of(self, kind: str, stale: float) -> dict[str, dict[str, Any]]:
+        if not stale:
+            return self.by_kind[kind]
+        found: dict[str, dict[str, Any]] = {}
+        for change in self.changes:
+            if change.kind != kind or change.at > self.clock() - stale:
+                continue
+            found.pop(_name(change.item), None)
+            if not change.deleted:
+                found[_name(change.item)] = change.item
+        return found
+
+    def events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        """Return a kind's changes after a revision."""
+        if since < self.forgotten:
+            raise CallError(410)
+        return [
+            {"deleted": change.deleted, "object": change.item}
+            for change in self.changes
+            if change.kind == kind and change.revision > since
+        ]
+
+    def create(self, kind: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Create an object."""
+        name = body.get("metadata", {}).get("name")
+        if not isinstance(name, str) or not name:
+            raise CallError(400)
+        if name in self.by_kind[kind]:
+            raise CallError(409, self.by_kind[kind][name])
+        finalizers = body["metadata"].get("finalizers", [])
+        return self._store(kind, name, body.get("spec"), body.get("status"), finalizers, None)
+
+    def replace(
+        self, kind: str, name: str, body: dict[str, Any], status: bool = False
+    ) -> dict[str, Any]:
+        """Replace the spec and finalizers, or the status, of an object."""
+        old = self.get(kind, name)
+        metadata = body.get("metadata", {})
+        self.check(old, metadata.get("revision"))
+        finalizers = metadata.get("finalizers", old["metadata"]["finalizers"])
+        if status:
+            new = (old["spec"], body.get("status"), old["metadata"]["finalizers"])
+        else:
+            new = (body.get("spec"), old["status"], finalizers)
+        if new == (old["spec"], old["status"], old["metadata"]["finalizers"]):
+            return old
+        stored = self._store(kind, name, *new, old["metadata"])
+        if stored["metadata"]["deletionPending"] and not stored["metadata"]["finalizers"]:
+            self._remove(kind, name)
+        return stored
+
+    def delete(self, kind: str, name: str, revision: int | None) -> None:
+        """Delete an object, or mark it while it has finalizers."""
+        old = self.get(kind, name)
+        self.check(old, revision)
+        if not old["metadata"]["finalizers"]:
+            self._remove(kind, name)
+            return
+        marked = {**old["metadata"], "deletionPending": True}
+        self._store(kind, name, old["spec"], old["status"], marked["finalizers"], marked)
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.changes.clear()
+        self.forgotten = self.revision
+
+    @staticmethod
+    def check(old: dict[str, Any], revision: int | None) -> None:
+        """Refuse a call that expects another revision."""
+        if revision is not None and revision != old["metadata"]["revision"]:
+            raise CallError(409, old)
+
+    def _store(
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        status: Any,
+        finalizers: list[str],
+        old: dict[str, Any] | None,
+    ) -> dict[str, Any]:
+        self.revision += 1
+        metadata = {
+            "name": name,
+            "revision": self.revision,
+            "created": old["created"] if old else self.revision,
+            "finalizers": finalizers,
+            "deletionPending": bool(old and old["deletionPending"]),
+        }
+        item = {"metadata": metadata, "spec": spec, "status": status}
+        self.by_kind[kind][name] = item
+        self._note(kind, False, item)
+        return item
+
+    def _remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        item = self.by_kind[kind].pop(name)
+        item = {**item, "metadata": {**item["metadata"], "revision": self.revision}}
+        self._note(kind, True, item)
+
+    def _note(self, kind: str, deleted: bool, item: dict[str, Any]) -> None:
+        self.changes.append(Change(self.revision, kind, deleted, item, self.clock()))
+        if len(self.changes) > HISTORY:
+            self.forgotten = self.changes.pop(0).revision
+
+
+def _name(item: dict[str, Any]) -> str:
+    return str(item["metadata"]["name"])
--- a/tests/platform/test_objectstore.py
+++ b/tests/platform/test_objectstore.py
@@ -15,7 +15,8 @@
 from briarspur.platform.objectstore import MAX_VALUE_BYTES, PlatformObjectStore
 from briarspur.settings import PlatformSettings
 from briarspur.storecalls import PlatformClient
-from standins.objectapi import PAGE, ObjectApi
+from standins.objectapi import ObjectApi
+from standins.objectstate import PAGE
 from tests.compat import store_contract
 from tests.loop import LoopTestCase, eventually
 from tests.reactor import run
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,7 +18,8 @@
 from briarspur.platform.store import PlatformStore
 from briarspur.settings import PlatformSettings
 from briarspur.storecalls import PlatformClient
-from standins.objectapi import PAGE, ObjectApi
+from standins.objectapi import ObjectApi
+from standins.objectstate import PAGE
 from tests.loop import LoopTestCase, eventually, the_reactor
 
 HOST = "127.0.0.1"
