--- a/briarspur/gateway/admission.py
+++ b/briarspur/gateway/admission.py
@@ -8,13 +8,13 @@
 
 from briarspur.gateway.target import Target
 
-__all__ = ["LONGEST_WAIT", "REPLICA_PRESSURE", "SPREAD_PRESSURE", "may_queue", "pressure"]
+__all__ = ["LONGEST_WAIT", "COPY_PRESSURE", "SPREAD_PRESSURE", "may_queue", "pressure"]
 
 LONGEST_WAIT = 1.0
 """Share of a route's goal that a request may wait for its turn where the goal is out of reach. Over
 the five heavy days of each of two deployments, one run each: at 0.4 the mean worth was 0.627 and
 0.502, at 1.0 0.639 and 0.582; unbounded, entries that had restarted stayed late for 15 s."""
-REPLICA_PRESSURE = 0.6
+COPY_PRESSURE = 0.6
 """Share of a service's slots up to which objects are made warm once more to save their way. Above,
 each cold run keeps slots from requests that would have met their goal."""
 SPREAD_PRESSURE = 0.8
--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from briarspur.gateway.admission import REPLICA_PRESSURE, SPREAD_PRESSURE, may_queue, pressure
+from briarspur.gateway.admission import COPY_PRESSURE, SPREAD_PRESSURE, may_queue, pressure
 from briarspur.gateway.configuration import Route
 from briarspur.gateway.preference import Distance, Preferences, Ranked, mean_objects
-from briarspur.gateway.replicas import ReplicaDebts
 from briarspur.gateway.target import Target
+from briarspur.gateway.warmcopies import CopyDebts
 from briarspur.gateway.worktime import RouteWork, WorkTimes
 
 __all__ = ["Choice", "Chooser", "Wish"]
@@ -30,10 +30,10 @@
 for the cold time."""
 NEWCOMER_SHARE = 0.5
 """A server that knows fewer objects than this share of the mean of its service is a newcomer."""
-REPLICA_BYTES = 3.0
+COPY_BYTES = 3.0
 """Weight of a byte against a cold run, as a multiple of its weight against a wait. A wait comes
 again with each request, a cold run once for all that follow."""
-REPLICA_LOAD = 0.7
+COPY_LOAD = 0.7
 """Share of its slots up to which a server's load leaves room for a cold run."""
 SUSPECT_COST = 2.0
 """Seconds counted for a suspected server when a request can't be repeated elsewhere."""
@@ -104,7 +104,7 @@
         self._work = work
         self._transit = transit
         self._preferences = Preferences(transit)
-        self._debts = ReplicaDebts()
+        self._debts = CopyDebts()
 
     def choose(
         self, wish: Wish, targets: Sequence[Target], epoch: int, now: float
@@ -117,23 +117,17 @@
         is_warm = any(wish.key in target.warmth for target in targets)
         spread = used <= SPREAD_PRESSURE or not is_warm
         best = self._best(wish, ranked, now, spread)
-        if best is not None and best.warm and used <= REPLICA_PRESSURE:
-            nearer = self._replica(best, wish, wish.key, targets, epoch, now)
-            if nearer is not None:
-                return nearer
-            # Objects that are warm elsewhere would leave a server that has just joined unused for
-            # ever: each would cost it the cold time. So it gets one from time to time while it is
-            # idle, of those that prefer it, until it knows as many as half of the others.
-            for first in self._preferences.first(wish.service, wish.key, targets, epoch):
-                invited = self._invite(first, wish, targets, now)
-                if invited is not None:
-                    return invited
         if best is None:
             everywhere = [Ranked(target, 0.0) for target in targets]
-            best = self._best(wish, everywhere, now, spread)
-        return best
+            return self._best(wish, everywhere, now, spread)
+        if not best.warm:
+            return best
+        nearer = None
+        if used <= COPY_PRESSURE:
+            nearer = self._warm_copy(best, wish, wish.key, targets, epoch, now)
+        return nearer or self._newcomer(wish, wish.key, targets, epoch, now) or best
 
-    def _replica(
+    def _warm_copy(
         self,
         best: Choice,
         wish: Wish,
@@ -145,11 +139,11 @@
         """Return a server of the entry's own zone where the object is to be made warm now.
 
         The callers of an object come from the zones of a region alike, so with one warm server half
-        of its bytes cross zones for ever. On a quiet day replicas took 56 MB to 30 MB, with 2.5 of
-        100 requests less in time, since each one costs a caller the cold time once.
+        of its bytes cross zones for ever. On a quiet day warm copies took 56 MB to 30 MB, with 2.5
+        of 100 requests less in time, since each one costs a caller the cold time once.
         """
         times = self._work.route(wish.route.name, wish.route.goal)
-        cost = (wish.size + times.size) * self._transit.byte_cost(best.target) * REPLICA_BYTES
+        cost = (wish.size + times.size) * self._transit.byte_cost(best.target) * COPY_BYTES
         extra = times.cold - times.warm
         if cost <= 0.0 or not self._debts.add(wish.service, key, cost, extra):
             return None
@@ -157,7 +151,7 @@
         if any(key in target.warmth for target in near):
             return None
         for target in near:
-            if target.load >= REPLICA_LOAD * target.registration.slots:
+            if target.load >= COPY_LOAD * target.registration.slots:
                 continue
             choice = self._best(wish, [Ranked(target, 0.0)], now)
             if choice is not None:
@@ -165,6 +159,21 @@
                 return choice
         return None
 
+    def _newcomer(
+        self, wish: Wish, key: int, targets: Sequence[Target], epoch: int, now: float
+    ) -> Choice | None:
+        """Return a server that has just joined, if it is to get this object.
+
+        Objects that are warm elsewhere would leave it unused for ever: each would cost it the cold
+        time. So it gets one from time to time while it is idle, of those that prefer it, until it
+        knows as many as half of the others.
+        """
+        for first in self._preferences.first(wish.service, key, targets, epoch):
+            invited = self._invite(first, wish, targets, now)
+            if invited is not None:
+                return invited
+        return None
+
     def _invite(
         self, first: Target, wish: Wish, targets: Sequence[Target], now: float
     ) -> Choice | None:
--- a/tests/gateway/test_replicas.py
+++ b/tests/gateway/test_warmcopies.py
@@ -4,8 +4,8 @@
 
 from briarspur.gateway.configuration import RouteKind
 from briarspur.gateway.outcome import Outcome
-from briarspur.gateway.replicas import ReplicaDebts
 from briarspur.gateway.steering import Arrival, Attempt, Steering, Work
+from briarspur.gateway.warmcopies import CopyDebts
 from tests.gateway.samples import registration, route, steering
 
 UPLOAD = route("notes", "/notes/", RouteKind.UPLOAD)
@@ -45,7 +45,7 @@
     return attempt.target.registration.zone
 
 
-class ReplicaTest(unittest.TestCase):
+class WarmCopyTest(unittest.TestCase):
     """Half of the bytes of every object crossed zones for as long as it was asked for.
 
     An object's callers stand in both zones of a region and it was warm at one server, so the
@@ -76,11 +76,11 @@
         self.assertEqual({"a-2"}, zones)
 
 
-class ReplicaDebtsTest(unittest.TestCase):
-    """A replica is paid for by what the way has cost."""
+class CopyDebtsTest(unittest.TestCase):
+    """A warm copy is paid for by what the way has cost."""
 
     def test_a_debt_grows_until_it_is_settled(self) -> None:
-        debts = ReplicaDebts()
+        debts = CopyDebts()
         self.assertFalse(debts.add("info", 7, 0.25, 0.5))
         self.assertTrue(debts.add("info", 7, 0.25, 0.5))
         debts.settle("info", 7)
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -40,9 +40,9 @@
     Mechanism(
         "bound on spreading", "admission.py", "SPREAD_PRESSURE = 0.8", "SPREAD_PRESSURE = 99.0"
     ),
-    Mechanism("replicas", "admission.py", "REPLICA_PRESSURE = 0.6", "REPLICA_PRESSURE = -1.0"),
+    Mechanism("warm copies", "admission.py", "COPY_PRESSURE = 0.6", "COPY_PRESSURE = -1.0"),
     Mechanism(
-        "bound on replicas", "admission.py", "REPLICA_PRESSURE = 0.6", "REPLICA_PRESSURE = 99.0"
+        "bound on warm copies", "admission.py", "COPY_PRESSURE = 0.6", "COPY_PRESSURE = 99.0"
     ),
     Mechanism("cost of bytes", "transit.py", "ZONE_BYTE = 3.0e-6", "ZONE_BYTE = 0.0"),
     Mechanism("order of preference", "chooser.py", "RANK_COST = 0.05", "RANK_COST = 0.0"),
