--- a/briarspur/platform/configdocument.py
+++ b/briarspur/platform/configdocument.py
@@ -90,6 +90,10 @@
     resourceList: list[Any]  # noqa: N815
 
 
+ROUTES, SERVICES, LIMITS = "routes", "services", "limits"
+UNNAMED_PART = "part"
+"""What a part is called in faults if it does not say what it is."""
+MAY_BE_ROUTES = frozenset({ROUTES, UNNAMED_PART})
 HARMLESS_DEFAULTS = frozenset({"latencyGoalMs", "priority", "attempts", "sticky"})
 """Fields of a route whose default harms nobody: one server a request, no preference. A mistyped
 list of regions or services has no such default, so the route is skipped."""
@@ -111,7 +115,7 @@
         tuple(reader.routes),
         reader.services_by_name,
         reader.limits,
-        complete=not any(fault.skipped for fault in reader.faults),
+        complete=not any(fault.skipped and fault.part in MAY_BE_ROUTES for fault in reader.faults),
     )
     return Ok(ReadConfiguration(configuration, tuple(reader.faults)))
 
@@ -130,7 +134,7 @@
         try:
             resource = _Resource.model_validate(part)
         except ValidationError as error:
-            self._fault("part", _name_of(part), first_fault(error))
+            self._fault(UNNAMED_PART, _name_of(part), first_fault(error))
             return
         name = resource.metadata.name
         try:
@@ -141,11 +145,11 @@
             self._fault(resource.entryKind, name, str(error))
 
     def _decode(self, kind: str, name: str, spec: dict[str, Any]) -> None:
-        if kind == "routes":
+        if kind == ROUTES:
             self.routes.append(self._route(name, spec))
-        elif kind == "services":
+        elif kind == SERVICES:
             self.services_by_name[name] = _service(name, _ServiceSpec.model_validate(spec))
-        elif kind == "limits":
+        elif kind == LIMITS:
             self.limits = _limits(_LimitsSpec.model_validate(spec))
 
     def _route(self, name: str, spec: dict[str, Any]) -> Route:
@@ -156,10 +160,10 @@
             if not harmless <= HARMLESS_DEFAULTS:
                 raise
             read = _RouteSpec.model_validate({k: v for k, v in spec.items() if k not in harmless})
-            self._fault("routes", name, first_fault(error), skipped=False)
+            self._fault(ROUTES, name, first_fault(error), skipped=False)
         if read.kind not in KINDS:
             reason = f"unknown kind {read.kind!r}, served as {MOST_CAREFUL.value}"
-            self._fault("routes", name, reason, skipped=False)
+            self._fault(ROUTES, name, reason, skipped=False)
         return _route(name, read)
 
     def _fault(self, part: str, name: str, reason: str, skipped: bool = True) -> None:
--- a/tests/platform/test_configdocument.py
+++ b/tests/platform/test_configdocument.py
@@ -137,6 +137,11 @@
                 self.assertTrue(read.faults[0].skipped)
                 self.assertFalse(read.configuration.complete)
 
+    def test_a_skipped_service_hides_no_route(self) -> None:
+        service = {"entryKind": "services", "metadata": {"name": "info"}, "spec": {"warmupS": "x"}}
+        self.assertTrue(self.read(service).configuration.complete)
+        self.assertFalse(self.read({"metadata": {"name": "lost"}}).configuration.complete)
+
     def test_services_limits_and_nameless_parts_are_skipped(self) -> None:
         read = self.read(
             {"entryKind": "services", "metadata": {"name": "info"}, "spec": {"warmupS": "x"}},
