Begin an outage of the store at 2.6 s without an answer, not at 1.6 s

StoreAvailability counted from 1.6 s on as away, so all of them held a server that had left for 2.2 s (target-vanished, kept) and sent requests to it 2.55 s after the store had acknowledged it.

Ruled out: the store (it answered all who reached it), late pulls (all had the change 1.05 s after it).

The test of replaced readers failed first.

--- a/briarspur/gateway/availability.py
+++ b/briarspur/gateway/availability.py
@@ -6,9 +6,12 @@
 
 __all__ = ["StoreAvailability"]
 
-OUTAGE = 1.6
-"""Seconds without an answer to anybody from which the store counts as away. Readers ask it every
-1.1 s, and registrations lapse after three renewals, 1 s apart or more, have failed."""
+OUTAGE = 2.6
+"""Seconds without an answer to anybody from which the store counts as away. Two readers that are
+cut off are replaced after 1.6 s, and the first call of the others takes up to 0.7 s: that gap is no
+outage. At 1.6 s it counted as one, each entry held a server that had left for 2.2 s, and callers'
+requests reached it 2.55 s after the store had acknowledged that. Registrations lapse once three
+renewals, 1.5 s apart, have failed, which takes an outage of 3 s."""
 
 
 class StoreAvailability:
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -59,6 +59,19 @@
         self.assertEqual(float("-inf"), self.availability.returned_at)
         self.assertTrue(self.departures.vanished("t-1", 29.0))
 
+    def test_readers_that_are_replaced_are_no_outage(self) -> None:
+        """Both entries that read the store are cut off, and a server leaves in the same second.
+
+        The others asked the store themselves 1.6 s after its last answer and had one at once. They
+        took the gap for an outage and held the server's end back for 2.2 s; callers' requests
+        reached it 2.55 s after the store had acknowledged that it leaves.
+        """
+        self.answered_until(10.0)
+        self.availability.answered(11.682)
+        self.assertTrue(self.departures.vanished("t-1", 11.683))
+        self.availability.answered(11.682 + 2.3)
+        self.assertTrue(self.departures.vanished("t-2", 11.683 + 2.3))
+
     def test_a_cut_of_one_entry_only_holds_nothing_back(self) -> None:
         """The others go on reading, so registrations lapse for no other reason than their servers.
 
