Take what other entries know while the own call to the store hangs

An entry that followed the store itself took no copies from others until its own call had failed, which took 1.5 s on a dead connection; and one pull that hung kept back what a second entry told for 1 s.

Copies are now taken unless the own read is younger than 1 s, and pulls are kept apart by sender. Both new tests fail without their guard (tried with each condition put back). In the test of the entry that is cut off, the line before its check now says that the entry has just read: that is what makes copies needless, and the check itself is as it was.

--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -20,6 +20,9 @@
 FRESH = 1.6
 """Seconds since the store's confirmation up to which other entries' knowledge is relied on. Readers
 ask for registrations every 1.1 s at most; a change must be in force 2.5 s after it was made."""
+OWN_READ = 1.0
+"""Seconds since its own read of the store up to which an entry that follows it needs no copies: two
+reads in a row are at most 0.9 s apart while the store answers."""
 SETTLE = 0.35
 """Seconds after the other entries' addresses are known in which their news arrive; before, a
 process that has just started can't tell whether it is a reader."""
@@ -66,7 +69,8 @@
         self._confirmed_at = float("-inf")
         self._read_at = float("-inf")
         self._next_fallback = float("-inf")
-        self._pulling: set[Kind] = set()
+        # By sender: a pull from one entry that hangs must not keep back what another one knows.
+        self._pulling: set[tuple[Address, Kind]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_reading = False
 
@@ -148,16 +152,15 @@
             if all(news.revisions.get(kind, 0) for kind in (Kind.TARGETS, Kind.CONFIGURATION)):
                 self._confirmed_at = max(self._confirmed_at, self._clock() - news.store_age)
             return
-        # An entry that follows the store itself needs no copies, unless the store does not answer
-        # it. One that was cut off from the store only took none of what the others told it, and
-        # sent to servers that had left for as long as the cut lasted, and 5 s more.
-        if self._is_reading() and not self.syncs[Kind.TARGETS].failing:
+        # An entry that follows the store itself needs no copies as long as the store answers it.
+        # One whose own call hung took none of what the others told it: it sent to servers that had
+        # left until the call timed out, 1.5 s later, and in a cut for as long as that lasted.
+        if self._is_reading() and self._store_answers_me():
             return
-        for kind in behind:
-            if kind not in self._pulling:
-                address = self._address_of(news.entry_id)
-                if address is not None:
-                    self._start(self._pull(address, kind))
+        address = self._address_of(news.entry_id)
+        if address is not None:
+            for kind in behind:
+                self._start_pull(address, kind)
 
     def tick(self) -> None:
         """Note a change of role, and ask the seeds if the store is silent at the start."""
@@ -174,8 +177,7 @@
         if entries.replica.revision == 0 and entries.failing:
             for address in self._seeds:
                 for kind in FOLLOWED:
-                    if kind not in self._pulling:
-                        self._start(self._pull(address, kind))
+                    self._start_pull(address, kind)
 
     def close(self) -> None:
         """End the pulls in progress."""
@@ -195,16 +197,23 @@
             return now - self._began > START_WAIT and self._confirmed_at == float("-inf")
         return True
 
+    def _store_answers_me(self) -> bool:
+        return not self.syncs[Kind.TARGETS].failing and self.store_age() <= OWN_READ
+
+    def _start_pull(self, address: Address, kind: Kind) -> None:
+        if (address, kind) not in self._pulling:
+            self._start(self._pull(address, kind))
+
     async def _pull(self, address: Address, kind: Kind) -> None:
         sync = self.syncs[kind]
-        self._pulling.add(kind)
+        self._pulling.add((address, kind))
         try:
             pulled = await self._puller.pull(address, kind, sync.replica.revision)
         except PeerError as error:
             logs.event("peer-unavailable", logging.WARNING, kind=kind.name, error=str(error))
             return
         finally:
-            self._pulling.discard(kind)
+            self._pulling.discard((address, kind))
         if pulled is not None:
             sync.take(pulled.batch)
 
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from dataclasses import replace
 from typing import Any
 
 from briarspur.coord.errors import StoreUnavailableError
@@ -10,10 +11,10 @@
 from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.fleet import Fleet
-from briarspur.gateway.following import FRESH, Following
+from briarspur.gateway.following import FRESH, OWN_READ, Following
 from briarspur.gateway.gossip import Gossip
 from briarspur.gateway.loadview import MemberSeen, News
-from briarspur.gateway.pull import PullClient, PullServer
+from briarspur.gateway.pull import TIMEOUT, PullClient, PullServer
 from briarspur.gateway.replica import FOLLOWED, Batch, Kind, Replica, StoredChange
 from briarspur.gateway.sync import Pace, Sync
 from briarspur.peerchannels import PeerChannels
@@ -312,6 +313,7 @@
             )
             following = other.following
             following._began = following._confirmed_at = following._clock() - 10.0
+            following._read_at = following._clock()
             following.heard(reader.news(60))
             await asyncio.sleep(0.1)
             self.assertLess(other.syncs[Kind.TARGETS].replica.revision, 190, "it asks the store")
@@ -323,6 +325,71 @@
 
         self.run_on_loop(work())
 
+    def test_an_entry_whose_call_hangs_takes_what_others_know(self) -> None:
+        """A server leaves while an entry waits for the store on a connection that has died.
+
+        It had begun to ask the store itself, so it took no copies until its call had timed out;
+        its requests reached the server over 3 s after it had said that it leaves.
+        """
+
+        async def work() -> None:
+            store, port = FakeStore(), 17_549
+            reader, other = self.pair(store, port)
+            for member in self.spare:
+                await member.close()
+            await reader.server.start(HOST, port)
+            await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
+            for member in (reader, other):
+                for task in member.tasks:
+                    task.cancel()
+            reader.syncs[Kind.TARGETS].take(
+                Batch(190, (StoredChange("t-2", 170, {"state": "draining"}),))
+            )
+            following = other.following
+            following._began = following._confirmed_at = following._clock() - 10.0
+            following._read_at = following._clock() - OWN_READ - 0.1
+            self.assertFalse(other.syncs[Kind.TARGETS].failing)
+            following.heard(reader.news(60))
+            await eventually(lambda: other.syncs[Kind.TARGETS].replica.revision == 190)
+            await other.close()
+            await reader.close()
+
+        self.run_on_loop(work())
+
+    def test_a_pull_that_hangs_keeps_no_other_back(self) -> None:
+        """One reader's news arrive but nothing can be pulled from it; the other reader is well.
+
+        The pull from the first hung for 1 s, and what the second one told was left alone meanwhile.
+        """
+
+        async def work() -> None:
+            store, port, deaf = FakeStore(), 17_551, 17_553
+            reader, other = self.pair(store, port)
+            for member in self.spare:
+                await member.close()
+            await reader.server.start(HOST, port)
+            silent = await asyncio.start_server(lambda r, w: None, HOST, deaf)
+            await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
+            for member in (reader, other):
+                for task in member.tasks:
+                    task.cancel()
+            reader.syncs[Kind.TARGETS].take(
+                Batch(190, (StoredChange("t-2", 170, {"state": "draining"}),))
+            )
+            other.port_of["deaf"] = deaf
+            following = other.following
+            following._confirmed_at = following._clock()
+            following.heard(replace(reader.news(60), entry_id="deaf"))
+            following.heard(reader.news(61))
+            began = following._clock()
+            await eventually(lambda: other.syncs[Kind.TARGETS].replica.revision == 190)
+            self.assertLess(following._clock() - began, TIMEOUT / 2.0)
+            silent.close()
+            await other.close()
+            await reader.close()
+
+        self.run_on_loop(work())
+
     def test_in_an_outage_only_one_kind_is_asked_about(self) -> None:
         async def work() -> None:
             store = FakeStore()
