--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -202,11 +202,11 @@
 
     def _start_pull(self, address: Address, kind: Kind) -> None:
         if (address, kind) not in self._pulling:
+            self._pulling.add((address, kind))
             self._start(self._pull(address, kind))
 
     async def _pull(self, address: Address, kind: Kind) -> None:
         sync = self.syncs[kind]
-        self._pulling.add((address, kind))
         try:
             pulled = await self._puller.pull(address, kind, sync.replica.revision)
         except PeerError as error:
