Two readers a group, shorter reads, and ages that count from the question

What callers saw: requests at a server 3.17 s after it had said that it leaves. Whole zones relied on one reader, which read registrations every 1.25 s; its news were up to 1.6 s old in calm, the very age at which the others stop to rely on them and ask by themselves.

- Each group has two readers, which read every 0.67 s and tell the group at once.
- Knowledge is relied on for 1.2 s instead of 1.6 s.
- A read counts from its question (a watch without a change from the end of its wait), not from when its answer was looked at: a busy reader told others that its knowledge was younger than it was.
- Copies of the kinds that change seldom are taken from others by readers, too.

Ruled out: telling the reader's whole revision to save the list after a long rest; an entry that jumped over a change that was taken back would then never hear of it.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -65,13 +65,14 @@
 
 PACES = {
     Kind.CONFIGURATION: Pace(wait=4.0, pause=0.0),
-    Kind.TARGETS: Pace(wait=0.5, pause=0.6),
+    Kind.TARGETS: Pace(wait=0.3, pause=0.3),
     Kind.EVACUATIONS: Pace(wait=4.0, pause=0.0),
     Kind.ENTRIES: Pace(wait=4.0, pause=0.2),
 }
-"""A change must be in force 2.5 s after its acknowledgement. Registrations are renewed all the time
-and read in batches 0.6 s apart; the other kinds change seldom and are told of at once. A watch that
-waits 4 s notices a connection that went silent within 5 s."""
+"""A change must be in force 2.5 s after its acknowledgement. Registrations may be renewed all the
+time, so they are read in batches 0.3 s apart, and their watches wait shortly: only the end of one
+confirms that nothing is missing. The other kinds change seldom and are told of at once. A watch
+that waits 4 s notices a connection that went silent within 5 s."""
 
 
 class Gateway:
@@ -136,6 +137,7 @@
             self._peer_address,
             self._seeds(),
             availability,
+            lambda: self.gossip.tell(self._reactor.seconds()),
         )
         self.syncs = {kind: self._make_sync(kind) for kind in FOLLOWED}
         self.following.syncs = self.syncs
--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -17,9 +17,14 @@
 
 __all__ = ["Following"]
 
-FRESH = 1.6
-"""Seconds since the store's confirmation up to which other entries' knowledge is relied on. Readers
-ask for registrations every 1.1 s at most; a change must be in force 2.5 s after it was made."""
+FRESH = 1.2
+"""Seconds since the store's confirmation up to which other entries' knowledge is relied on.
+
+A backend server that leaves must get its last request 2.5 s after the store acknowledged that. The
+first call of an entry that hears nothing fresh takes 0.15 s, 0.7 s if it has to list everything,
+and the news of others may have waited 0.5 s on a full link. In calm, knowledge is 0.75 s old at
+most by one reader, 1.05 s where its watches end with changes, and each group has two readers. At
+1.6 s, with one reader whose knowledge was up to 1.6 s old, whole zones asked the store in calm."""
 OWN_READ = 1.0
 """Seconds since its own read of the store up to which an entry that follows it needs no copies: two
 reads in a row are at most 0.9 s apart while the store answers."""
@@ -30,7 +35,7 @@
 """Seconds after its start from which a process asks the store itself if nobody told it anything."""
 FIRST_STEP = 0.02
 """Seconds between two looks while the other entries are being listed, which takes about 0.02 s."""
-GATE_STEP = 0.1
+GATE_STEP = 0.05
 """Seconds between two looks at whether the store may be asked."""
 FALLBACK_PAUSE = 1.5
 """Mean seconds between two questions of an entry that is no reader, while the store does not answer
@@ -44,6 +49,8 @@
     ----------
     seeds : iterable of Address
         Entries to ask when the store does not answer at the start.
+    on_read : callable
+        Told when this entry has read the store: it may tell the others.
     """
 
     def __init__(
@@ -55,6 +62,7 @@
         address_of: Callable[[str], Address | None],
         seeds: Iterable[Address],
         availability: StoreAvailability,
+        on_read: Callable[[], None],
     ) -> None:
         self.syncs: Mapping[Kind, Sync] = {}
         self._gossip = gossip
@@ -64,6 +72,7 @@
         self._address_of = address_of
         self._seeds = tuple(seeds)
         self._availability = availability
+        self._on_read = on_read
         self._began = clock()
         self._settled_at = float("inf")
         self._confirmed_at = float("-inf")
@@ -128,11 +137,13 @@
         if kind is Kind.ENTRIES and self._settled_at == float("inf"):
             self._settled_at = now + SETTLE
 
-    def read(self, kind: Kind) -> None:
-        """Note that all changes up to an answer of the store were taken."""
+    def read(self, kind: Kind, as_of: float) -> None:
+        """Note that all changes of a kind up to a moment were taken from the store."""
         now = self._clock()
         if kind is Kind.TARGETS and all(sync.is_current(now) for sync in self.syncs.values()):
-            self._confirmed_at = self._read_at = now
+            self._read_at = as_of
+            self._confirmed_at = max(self._confirmed_at, as_of)
+            self._on_read()
 
     def heard(self, news: News) -> None:
         """Take another entry's knowledge: what it has beyond this one's is pulled."""
@@ -152,14 +163,17 @@
             if all(news.revisions.get(kind, 0) for kind in (Kind.TARGETS, Kind.CONFIGURATION)):
                 self._confirmed_at = max(self._confirmed_at, self._clock() - news.store_age)
             return
-        # An entry that follows the store itself needs no copies as long as the store answers it.
-        # One whose own call hung took none of what the others told it: it sent to servers that had
-        # left until the call timed out, 1.5 s later, and in a cut for as long as that lasted.
-        if self._is_reading() and self._store_answers_me():
-            return
         address = self._address_of(news.entry_id)
-        if address is not None:
-            for kind in behind:
+        if address is None:
+            return
+        # An entry that follows the store itself needs no copies of registrations as long as the
+        # store answers it; they change often, and it has just read them or is about to. One whose
+        # own call hung took none of what the others told it: it sent to servers that had left until
+        # the call timed out, 1.5 s later, and in a cut for as long as that lasted. The other kinds
+        # change seldom, and their watches may hang unnoticed for 5 s.
+        own = self._is_reading() and self._store_answers_me()
+        for kind in behind:
+            if kind is not Kind.TARGETS or not own:
                 self._start_pull(address, kind)
 
     def tick(self) -> None:
--- a/briarspur/gateway/groups.py
+++ b/briarspur/gateway/groups.py
@@ -16,10 +16,10 @@
 LARGEST_GROUP = 24
 """Entries up to which the whole fleet is one group. At 24, an entry gets 230 datagrams a second at
 most; 91 entries in one group took a third of their bytes between regions for news."""
-READERS_OF_ALL = 2
-READERS_OF_ZONE = 1
-"""Entries of a group that follow the store for the others. A single group has a spare; of several
-groups each has another group's news besides, and any entry follows by itself when news get old."""
+READERS = 2
+"""Entries of a group that follow the store for the others. With one, any fault of it left a whole
+zone to the calls of its single entries, which learnt of a departure after up to 2.2 s instead of
+0.6 s."""
 ONE_GROUP = "all"
 
 
@@ -37,7 +37,6 @@
         self.members: list[EntryRecord] = []
         self.speakers: list[EntryRecord] = []
         self._ranked: list[str] = [me.entry_id]
-        self._readers = READERS_OF_ALL
 
     def update(self, live: Iterable[EntryRecord], known: Iterable[EntryRecord]) -> None:
         """Take the other entries: those that live, and all that are recorded."""
@@ -45,10 +44,8 @@
         if len(known) + 1 <= LARGEST_GROUP:
             self.name, self.members, self.speakers = ONE_GROUP, known, []
             self._rank(record for record in live)
-            self._readers = READERS_OF_ALL
             return
         self.name = self._me.zone
-        self._readers = READERS_OF_ZONE
         self.members = [record for record in known if record.zone == self._me.zone]
         self._rank(record for record in live if record.zone == self._me.zone)
         self.speakers = _speakers(live, known, self._me.zone)
@@ -61,7 +58,7 @@
     @property
     def is_reader(self) -> bool:
         """Whether this entry follows the store for its group."""
-        return self._me.entry_id in self._ranked[: self._readers]
+        return self._me.entry_id in self._ranked[:READERS]
 
     def _rank(self, live: Iterable[EntryRecord]) -> None:
         ids = [self._me.entry_id, *(record.entry_id for record in live)]
--- a/briarspur/gateway/sync.py
+++ b/briarspur/gateway/sync.py
@@ -62,7 +62,7 @@
     on_reachable : callable
         Told whether the store answered the last call, before its answer is taken.
     on_current : callable
-        Told that all changes up to an answer of the store have been taken.
+        Told that all changes up to a moment have been taken.
     """
 
     def __init__(
@@ -74,7 +74,7 @@
         gate: Callable[[Kind], float],
         on_changes: Callable[[Kind, Sequence[StoredChange], Way], None],
         on_reachable: Callable[[Kind, bool], None],
-        on_current: Callable[[Kind], None],
+        on_current: Callable[[Kind, float], None],
         clock: Callable[[], float],
     ) -> None:
         self._source = source
@@ -90,6 +90,9 @@
         self._failed_at = float("-inf")
         self._lost_at: float | None = None
         self.current_at = float("-inf")
+        # The last answer names everything up to here. Its arrival says less: a busy process reads
+        # it late, and others took its knowledge for 1.2 s younger than it was.
+        self._as_of = float("-inf")
         self._call: asyncio.Task[Batch] | None = None
         self.answered_calls = 0
         self.failed_calls = 0
@@ -134,7 +137,7 @@
             listing = False
             self._succeeded()
             self.take(batch, way)
-            self._on_current(self.replica.kind)
+            self._on_current(self.replica.kind, self._as_of)
             if self._pace.pause:
                 await asyncio.sleep(self._pace.pause)
 
@@ -171,11 +174,17 @@
             self._call = None
 
     async def _next(self, listing: bool) -> Batch:
+        asked_at = self._clock()
         if listing:
-            return await self._source.list(self.replica.kind)
+            batch = await self._source.list(self.replica.kind)
+            self._as_of = asked_at
+            return batch
         # While the store is in doubt a watch must not wait: it would hide whether it answers.
         wait = 0.0 if self._doubted or self._failures else self._pace.wait
-        return await self._source.watch(self.replica.kind, self.replica.revision, wait)
+        batch = await self._source.watch(self.replica.kind, self.replica.revision, wait)
+        # A watch without a change was answered at the end of its wait, one with a change any time.
+        self._as_of = asked_at if batch.changes else asked_at + wait
+        return batch
 
     def _failed(self, error: StoreError) -> None:
         self._failures += 1
--- a/tests/gateway/spreading.py
+++ b/tests/gateway/spreading.py
@@ -240,6 +240,7 @@
             lambda other: Address(other, 82),
             (),
             StoreAvailability(),
+            lambda: self.gossip.tell(clock()),
         )
         self.source = _Source(entry_id, world.store, world.net)
         self.syncs = {
--- a/tests/gateway/test_departure_spread.py
+++ b/tests/gateway/test_departure_spread.py
@@ -85,6 +85,11 @@
     world.net.slow[readers[0]] = 1.2
 
 
+def every_reader_reads_late(world: World, readers: list[str]) -> None:
+    """Make all readers so busy that they read what has come for them 1.2 s late."""
+    world.net.slow = dict.fromkeys(readers, 1.2)
+
+
 def connections_died(world: World, readers: list[str]) -> None:
     """Kill all connections that were open some time ago; new ones work."""
     now = asyncio.get_running_loop().time()
@@ -113,6 +118,7 @@
     reader_not_heard,
     reader_does_not_hear,
     reader_reads_late,
+    every_reader_reads_late,
     connections_died,
     connections_died_then_reader_frozen,
     connections_died_then_every_reader_frozen,
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -95,6 +95,7 @@
             lambda entry: Address(HOST, self.port_of[entry]) if entry in self.port_of else None,
             (),
             StoreAvailability(),
+            lambda: self.gossip.tell(clock()),
         )
         self.syncs = {
             kind: Sync(
@@ -368,7 +369,8 @@
             for member in self.spare:
                 await member.close()
             await reader.server.start(HOST, port)
-            silent = await asyncio.start_server(lambda r, w: None, HOST, deaf)
+            writers: list[asyncio.StreamWriter] = []
+            silent = await asyncio.start_server(lambda r, w: writers.append(w), HOST, deaf)
             await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
             for member in (reader, other):
                 for task in member.tasks:
@@ -384,6 +386,8 @@
             began = following._clock()
             await eventually(lambda: other.syncs[Kind.TARGETS].replica.revision == 190)
             self.assertLess(following._clock() - began, TIMEOUT / 2.0)
+            for writer in writers:
+                writer.close()
             silent.close()
             await other.close()
             await reader.close()
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -60,7 +60,7 @@
             lambda kind: 0.0,
             take,
             lambda kind, reachable: self.reachable.append(reachable),
-            lambda kind: None,
+            lambda kind, as_of: None,
             asyncio.get_running_loop().time,
         )
 
@@ -159,3 +159,32 @@
             task.cancel()
 
         self.run_on_loop(work())
+
+    def test_an_answer_is_as_old_as_its_question(self) -> None:
+        """A busy reader reads the store's answer long after it came, and tells others of it.
+
+        They took its knowledge for as fresh as its reading, and relied on it too long: a server
+        that had left got requests meanwhile. A watch without a change is answered after its wait.
+        """
+
+        async def work() -> None:
+            source, now = FakeSource(), 100.0
+            sync = self.make(source)
+            sync._clock = lambda: now
+            moments: list[float] = []
+            sync._on_current = lambda kind, as_of: moments.append(as_of)
+            task = asyncio.ensure_future(sync.run())
+            await eventually(lambda: len(source.calls) == 1)
+            for batch in (
+                Batch(5, (StoredChange("a", 4, {}),), True),
+                Batch(6, (StoredChange("a", 6, {}),)),
+                Batch(6, ()),
+            ):
+                now += 10.0
+                source.answers.put_nowait(batch)
+                calls = len(source.calls)
+                await eventually(lambda calls=calls: len(source.calls) > calls)  # type: ignore[misc]
+            self.assertEqual([100.0, 110.0, 120.0 + 4.0], moments)
+            task.cancel()
+
+        self.run_on_loop(work())
