Take no stop of the own process for an outage of the store

Between two looks of the process, a quarter second apart, more than 1 s means that it stood still; that time no longer counts as time without an answer of the store. A stop is logged.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -74,7 +74,7 @@
 confirms that nothing is missing. The other kinds change seldom and are told of at once. A watch
 that waits 4 s notices a connection that went silent within 5 s; other entries' records may be
 late by 9 s, since their news tell who lives. Each call is paid for: a wait of 0.3 s instead of
-0.5 s would add 0.35 calls per second and reader, worked out, and make no departure known earlier."""
+0.5 s would add 0.35 calls per second and reader (worked out) and tell no departure earlier."""
 
 
 class Gateway:
--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -133,7 +133,7 @@
                     sync.doubt()
             return
         if kind is Kind.TARGETS:
-            self._availability.answered(now)
+            self._availability.answered(now, now)
         if kind is Kind.ENTRIES and self._settled_at == float("inf"):
             self._settled_at = now + SETTLE
 
@@ -150,7 +150,8 @@
         # A sender that has not read for long says nothing about the store of now: one that has just
         # started names an age without end.
         if news.store_age <= FRESH:
-            self._availability.answered(self._clock() - news.store_age)
+            now = self._clock()
+            self._availability.answered(now - news.store_age, now)
         # A copy is complete up to its revision, so only a later change can be missing. The latest
         # significant revision here is no measure: it may be that of a renewal which brought an
         # earlier change along, and would hide another server's change between the two.
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -45,6 +45,7 @@
         "a part of the configuration in force can't be read: skipped, or read carefully"
     ),
     "store-away": "no entry is known to have had an answer of the store for a while",
+    "stood-still": "this process was stopped, or too busy to look at anything, for so long",
     "store-back": "the store answers again after an outage; what vanished in it is held a while",
     "target-hold-ended": "a vanished registration did not come back after an outage of the store",
     "object-malformed": "an object of the store can't be read and was skipped",
