--- a/briarspur/gateway/availability.py
+++ b/briarspur/gateway/availability.py
@@ -8,8 +8,8 @@
 
 OUTAGE = 2.6
 """Seconds without an answer to anybody from which the store counts as away. Two readers that are
-cut off are replaced after 1.6 s, and the first call of the others takes up to 0.7 s: that gap is no
-outage. At 1.6 s it counted as one, each entry held a server that had left for 2.2 s, and callers'
+cut off are replaced after 1.2 s, and the first call of the others takes up to 0.7 s: that gap is no
+outage. When it counted as one, each entry held a server that had left for 2.2 s, and callers'
 requests reached it 2.55 s after the store had acknowledged that. Registrations lapse once three
 renewals, 1.5 s apart, have failed, which takes an outage of 3 s."""
 
