--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -168,7 +168,8 @@
         """
 
         async def work() -> None:
-            source, now = FakeSource(), 100.0
+            source = FakeSource()
+            now = 100.0
             sync = self.make(source)
             sync._clock = lambda: now
             moments: list[float] = []
@@ -179,12 +180,14 @@
                 Batch(5, (StoredChange("a", 4, {}),), True),
                 Batch(6, (StoredChange("a", 6, {}),)),
                 Batch(6, ()),
+                Batch(6, ()),
             ):
-                now += 10.0
+                # The last watch is answered as soon as it was asked: it was cut off.
+                now += 10.0 if len(source.calls) < 4 else 1.0
                 source.answers.put_nowait(batch)
                 calls = len(source.calls)
                 await eventually(lambda calls=calls: len(source.calls) > calls)  # type: ignore[misc]
-            self.assertEqual([100.0, 110.0, 120.0 + 4.0], moments)
+            self.assertEqual([100.0, 110.0, 120.0 + 4.0, 130.0], moments)
             task.cancel()
 
         self.run_on_loop(work())
