Pull one kind from two entries at once at most; tell the age of unreadable ends too

Pulls are kept apart by sender, so that one that hangs keeps no other back. With all members of a group telling of a change at once that made a pull from each; two are enough for the case. A registration that can't be read any more ends a server's use and is logged like any other departure.

--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -125,6 +125,7 @@
         read = self._codec.registration(change.name, change.value)
         if read.is_error():
             self._malformed(Kind.TARGETS, change, read.error)
+            self._departed(change.name, way.value, self._unseen())
             targets.removed(change.name)
             return
         self._departures.returned(change.name)
--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -21,13 +21,16 @@
 """Seconds since the store's confirmation up to which other entries' knowledge is relied on.
 
 A backend server that leaves must get its last request 2.5 s after the store acknowledged that. The
-first call of an entry that hears nothing fresh takes 0.15 s, 0.7 s if it has to list everything,
-and the news of others may have waited 0.5 s on a full link. In calm, knowledge is 0.95 s old at
-most by one reader, 1.45 s where its watches end with changes, and each group has two readers. At
-1.6 s, with one reader whose knowledge was up to 1.6 s old, whole zones asked the store in calm."""
+first call of an entry that hears nothing fresh takes 0.15 s, 0.7 s if it has to list everything. In
+calm, knowledge is 0.95 s old at most by one reader, 1.45 s where its watches end with changes, and
+each group has two readers. At 1.6 s, with one reader whose knowledge was up to 1.6 s old, whole
+zones asked the store in calm."""
 OWN_READ = 1.0
 """Seconds since its own read of the store up to which an entry that follows it needs no copies: two
 reads in a row are at most 0.9 s apart while the store answers."""
+MOST_PULLS = 2
+"""Pulls of one kind at once. After a change all members of a group tell of it in the same tenth of
+a second; a second pull is only for the case that the first one hangs."""
 SETTLE = 0.35
 """Seconds after the other entries' addresses are known in which their news arrive; before, a
 process that has just started can't tell whether it is a reader."""
@@ -216,7 +219,8 @@
         return not self.syncs[Kind.TARGETS].failing and self.store_age() <= OWN_READ
 
     def _start_pull(self, address: Address, kind: Kind) -> None:
-        if (address, kind) not in self._pulling:
+        senders = [sender for sender, pulled in self._pulling if pulled is kind]
+        if address not in senders and len(senders) < MOST_PULLS:
             self._pulling.add((address, kind))
             self._start(self._pull(address, kind))
 
