--- a/briarspur/gateway/sync.py
+++ b/briarspur/gateway/sync.py
@@ -182,8 +182,8 @@
         # While the store is in doubt a watch must not wait: it would hide whether it answers.
         wait = 0.0 if self._doubted or self._failures else self._pace.wait
         batch = await self._source.watch(self.replica.kind, self.replica.revision, wait)
-        # A watch without a change is answered at the end of its wait, one with a change any time; an
-        # early answer without one may come from a watch that was cut off as soon as it was asked.
+        # A watch without a change is answered at the end of its wait, one with a change any time.
+        # One that ends early without a change may have been cut off as soon as it was asked.
         waited = not batch.changes and self._clock() - asked_at >= wait
         self._as_of = asked_at + wait if waited else asked_at
         return batch
