--- a/tests/gateway/test_departure_spread.py
+++ b/tests/gateway/test_departure_spread.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 from typing import ClassVar
 
-from tests.gateway.spreading import STORE_PLACE, World
+from tests.gateway.playedstore import STORE_PLACE
+from tests.gateway.spreading import World
 from tests.virtualtime import run_virtual
 
 BOUND = 2.5
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -151,6 +151,23 @@
         self.spare = [m for m in members if m not in (reader, other)]
         return reader, other
 
+    async def informed(self, port: int) -> tuple[Member, Member]:
+        """Return a reader that knows of a server that leaves, and an entry that does not yet.
+
+        Neither asks the store any more: what the entry learns comes from the reader.
+        """
+        reader, other = self.pair(FakeStore(), port)
+        for member in self.spare:
+            await member.close()
+        await reader.server.start(HOST, port)
+        await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
+        for member in (reader, other):
+            for task in member.tasks:
+                task.cancel()
+        leaves = StoredChange("t-2", 170, {"state": "draining"})
+        reader.syncs[Kind.TARGETS].take(Batch(190, (leaves,)))
+        return reader, other
+
     def test_a_change_that_cant_be_pulled_is_read_from_the_store(self) -> None:
         """A reader tells of a new configuration, but pulls from it fail.
 
@@ -300,18 +317,7 @@
         """
 
         async def work() -> None:
-            store, port = FakeStore(), 17_547
-            reader, other = self.pair(store, port)
-            for member in self.spare:
-                await member.close()
-            await reader.server.start(HOST, port)
-            await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
-            for member in (reader, other):
-                for task in member.tasks:
-                    task.cancel()
-            reader.syncs[Kind.TARGETS].take(
-                Batch(190, (StoredChange("t-2", 170, {"state": "draining"}),))
-            )
+            reader, other = await self.informed(17_547)
             following = other.following
             following._began = following._confirmed_at = following._clock() - 10.0
             following._read_at = following._clock()
@@ -334,18 +340,7 @@
         """
 
         async def work() -> None:
-            store, port = FakeStore(), 17_549
-            reader, other = self.pair(store, port)
-            for member in self.spare:
-                await member.close()
-            await reader.server.start(HOST, port)
-            await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
-            for member in (reader, other):
-                for task in member.tasks:
-                    task.cancel()
-            reader.syncs[Kind.TARGETS].take(
-                Batch(190, (StoredChange("t-2", 170, {"state": "draining"}),))
-            )
+            reader, other = await self.informed(17_549)
             following = other.following
             following._began = following._confirmed_at = following._clock() - 10.0
             following._read_at = following._clock() - OWN_READ - 0.1
@@ -364,20 +359,10 @@
         """
 
         async def work() -> None:
-            store, port, deaf = FakeStore(), 17_551, 17_553
-            reader, other = self.pair(store, port)
-            for member in self.spare:
-                await member.close()
-            await reader.server.start(HOST, port)
+            deaf = 17_553
+            reader, other = await self.informed(17_551)
             writers: list[asyncio.StreamWriter] = []
             silent = await asyncio.start_server(lambda r, w: writers.append(w), HOST, deaf)
-            await eventually(lambda: all(s.replica.revision for s in other.syncs.values()))
-            for member in (reader, other):
-                for task in member.tasks:
-                    task.cancel()
-            reader.syncs[Kind.TARGETS].take(
-                Batch(190, (StoredChange("t-2", 170, {"state": "draining"}),))
-            )
             other.port_of["deaf"] = deaf
             following = other.following
             following._confirmed_at = following._clock()
