--- a/briarspur/gateway/newsdelay.py
+++ b/briarspur/gateway/newsdelay.py
@@ -1,4 +1,4 @@
-"""How long news waited on their way, beyond the usual."""
+"""How long news waited on their way, beyond the usual: one-way delay variation."""
 
 import time
 from dataclasses import dataclass
@@ -6,7 +6,7 @@
 __all__ = ["NewsDelays", "sending_clock"]
 
 WINDOW = 30.0
-"""Seconds after which the shortest way seen is measured anew: long enough to hold a quick message,
+"""Seconds after which the smallest offset is measured anew: long enough to hold a quick message,
 short enough to forget clocks that have drifted apart or a way that has become longer."""
 FORGOTTEN = 300.0
 """Seconds without news after which a sender is forgotten."""
@@ -18,13 +18,19 @@
 
 
 @dataclass(slots=True)
-class _Ways:
-    """Differences between a receiver's clock and a sender's, in seconds."""
+class _Offsets:
+    """The smallest differences between a receiver's clock and a sender's, in seconds.
+
+    Attributes
+    ----------
+    smallest, smallest_before : float
+        Of this window and of the one before it.
+    """
 
     started: int
     window_began: float
-    shortest: float
-    shortest_before: float
+    smallest: float
+    smallest_before: float
 
 
 class NewsDelays:
@@ -37,7 +43,7 @@
     """
 
     def __init__(self) -> None:
-        self._ways_by_sender: dict[str, _Ways] = {}
+        self._offsets_by_sender: dict[str, _Offsets] = {}
 
     def delay(self, sender: str, started: int, sent_at: float, now: float) -> float:
         """Return for how many seconds longer than the quickest one a message was on its way.
@@ -51,22 +57,22 @@
         now : float
             The receiver's clock, seconds.
         """
-        way = now - sent_at
-        ways = self._ways_by_sender.get(sender)
-        if ways is None or ways.started != started:
+        offset = now - sent_at
+        known = self._offsets_by_sender.get(sender)
+        if known is None or known.started != started:
             self._forget_silent(now)
-            self._ways_by_sender[sender] = _Ways(started, now, way, way)
+            self._offsets_by_sender[sender] = _Offsets(started, now, offset, offset)
             return 0.0
-        if now - ways.window_began > WINDOW:
-            ways.window_began = now
-            ways.shortest_before, ways.shortest = ways.shortest, way
-        ways.shortest = min(ways.shortest, way)
-        return way - min(ways.shortest, ways.shortest_before)
+        if now - known.window_began > WINDOW:
+            known.window_began = now
+            known.smallest_before, known.smallest = known.smallest, offset
+        known.smallest = min(known.smallest, offset)
+        return offset - min(known.smallest, known.smallest_before)
 
     def _forget_silent(self, now: float) -> None:
         """Drop the senders that are gone: VMs are replaced, and their names do not come back."""
-        self._ways_by_sender = {
-            sender: ways
-            for sender, ways in self._ways_by_sender.items()
-            if now - ways.window_began <= FORGOTTEN
+        self._offsets_by_sender = {
+            sender: known
+            for sender, known in self._offsets_by_sender.items()
+            if now - known.window_began <= FORGOTTEN
         }
