Start a gateway with what it uses: shared parts in modules of their own, no collections while importing

Callers of a fleet whose power returns wait for all entries to start at once. The heads of answers, refusals, held requests, addresses and the settings that every process has left the modules of the other programs, which a gateway no longer imports; the collector rests while the program is imported, and no site folder is read.

--- a/briarspur/answers.py
+++ b/briarspur/answers.py
@@ -1,16 +1,14 @@
-"""Final answers of briarspur's own, and what the head of another's answer says of the request."""
+"""What the head of another's answer says of the request."""
 
-import json
-import math
 import re
 from dataclasses import dataclass
 
 from twisted.web.http_headers import Headers
 
 from briarspur import headers as names
-from briarspur.backend import AnswerHead
-from briarspur.codes import CODES, Code, Ran
-from briarspur.messages import Answer, Failure, Refusal
+from briarspur.answerhead import AnswerHead
+from briarspur.codes import Code, Ran
+from briarspur.messages import Failure
 
 __all__ = [
     "Declined",
@@ -18,7 +16,6 @@
     "declined",
     "is_draining",
     "is_resumable",
-    "refusal_answer",
     "strong_etag",
 ]
 
@@ -44,27 +41,6 @@
     code: Code | None = None
 
 
-def refusal_answer(refusal: Refusal) -> Answer:
-    """Return the HTTP answer that tells a caller of a refusal."""
-    info = CODES[refusal.code]
-    document = {
-        "code": int(refusal.code),
-        "name": refusal.code.name,
-        "ran": info.ran.value,
-        "repeat": info.repeat.value,
-        "detail": refusal.detail or info.meaning,
-        "retry_after": refusal.retry_after,
-    }
-    pairs = [
-        (b"Content-Type", b"application/json"),
-        (names.CODE, b"%d" % refusal.code),
-        (names.RAN, info.ran.value.encode()),
-    ]
-    if refusal.retry_after is not None:
-        pairs.append((names.RETRY_AFTER, b"%d" % max(1, math.ceil(refusal.retry_after))))
-    return Answer(info.http_status, tuple(pairs), json.dumps(document).encode() + b"\n")
-
-
 def declined(head: AnswerHead, from_entry: bool) -> Declined | None:
     """Return what the head says if the request was not surely run; None if it is an answer.
 
--- a/briarspur/attempts.py
+++ b/briarspur/attempts.py
@@ -5,23 +5,16 @@
 
 from twisted.web.http_headers import Headers
 
+from briarspur.answerhead import AnswerHead
 from briarspur.answers import Declined, continues, declined, is_draining, is_resumable
-from briarspur.backend import AnswerHead, Attempt, AttemptError
+from briarspur.backend import Attempt, AttemptError
 from briarspur.codes import Code
 from briarspur.headers import answer_headers
-from briarspur.messages import Answer, Dispatch, Failure, Forward, Refusal, Request
+from briarspur.heldrequest import Flow
+from briarspur.messages import Dispatch, Failure, Forward, Request
+from briarspur.refusal import Answer, Refusal
 
-__all__ = ["AttemptOwner", "Caller", "Flow", "Inbound", "OpenAttempt", "OpenRequest"]
-
-
-class Flow(Protocol):
-    """What can be slowed while a caller reads slowly."""
-
-    def pause(self) -> None:
-        """Stop producing."""
-
-    def resume(self) -> None:
-        """Go on producing."""
+__all__ = ["AttemptOwner", "Caller", "Inbound", "OpenAttempt", "OpenRequest"]
 
 
 class Caller(Protocol):
--- a/briarspur/backend.py
+++ b/briarspur/backend.py
@@ -22,6 +22,7 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
+from briarspur.answerhead import AnswerHead
 from briarspur.endpoints import NumberEndpoints
 from briarspur.messages import Failure
 
@@ -56,15 +57,6 @@
     most_open: int
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """Status and headers of an answer; ``length`` is its body's size in bytes, None if unknown."""
-
-    status: int
-    headers: Headers
-    length: int | None
-
-
 @dataclass(frozen=True, slots=True)
 class AttemptError:
     """How an attempt failed.
--- a/briarspur/callerrequest.py
+++ b/briarspur/callerrequest.py
@@ -1,25 +1,23 @@
 """One request on a connection, and the way its answer takes back."""
 
-import logging
 from collections.abc import Iterable
 from typing import Protocol, cast
 
 from expression import Result
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.http import HTTPChannel
-from twisted.web.http import Request as TwistedRequest
 
 from briarspur import headers as names
-from briarspur import logs
-from briarspur.answers import refusal_answer
-from briarspur.attempts import Flow, Inbound
-from briarspur.backend import AnswerHead
+from briarspur.answerhead import AnswerHead
+from briarspur.attempts import Inbound
 from briarspur.channel import CallerChannel
 from briarspur.codes import CODES, Code
+from briarspur.heldrequest import Flow, FlowProducer, HeldRequest
 from briarspur.inbound import RawRequest, block_of
-from briarspur.messages import Answer, Refusal, Request
+from briarspur.messages import Request
+from briarspur.refusal import Answer, Refusal, refusal_answer
 
-__all__ = ["Arrivals", "CarriedRequest", "FlowProducer", "HeldRequest", "RequestOwner"]
+__all__ = ["Arrivals", "CarriedRequest", "RequestOwner"]
 
 NO_BODY = frozenset({204, 304})
 
@@ -45,51 +43,6 @@
         """Count and log a request that was refused before it was carried."""
 
 
-class HeldRequest(TwistedRequest):
-    """One request whose body is kept in memory, within the bound of its channel.
-
-    Twisted would write a body of over 100 kB to a temporary file, and the VMs have no disks.
-    """
-
-    def __init__(self, channel: HTTPChannel) -> None:
-        super().__init__(channel, False)
-        self._parts: list[bytes] = []
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Open no file."""
-
-    def parseCookies(self) -> None:  # noqa: N802
-        """Leave cookies to the backend server."""
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body, within the bounds."""
-        channel = cast(CallerChannel, self.channel)
-        channel.hold_body(len(data))
-        if not channel.refused:
-            self._parts.append(data)
-
-    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
-        """Take the whole request."""
-        self.method, self.uri, self.clientproto = command, path, version
-        try:
-            self.process()
-        except Exception as error:
-            # A fault in one request must not end its connection silently, nor reach others.
-            logs.event("internal-error", logging.ERROR, error=repr(error), path=path)
-            if not self.startedWriting and not self._disconnected:
-                self.refuse(Refusal(Code.INTERNAL_ERROR))
-
-    def take_body(self) -> bytes:
-        """Return the body, once."""
-        body = b"".join(self._parts)
-        self._parts.clear()
-        return body
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Send a final answer of our own."""
-        raise NotImplementedError
-
-
 class CarriedRequest(HeldRequest):
     """One request, and the way its answer takes back: the caller as the carrier sees it."""
 
@@ -183,32 +136,3 @@
     def _set_code(self, code: Code) -> None:
         self.setHeader(names.CODE, b"%d" % code)
         self.setHeader(names.RAN, CODES[code].ran.value.encode())
-
-
-class FlowProducer:
-    """Twisted's view of a flow that is slowed while the caller does not read.
-
-    Attributes
-    ----------
-    paused : bool
-        The caller does not read at the moment.
-    """
-
-    def __init__(self, flow: Flow, paused: bool = False) -> None:
-        self._flow = flow
-        self.paused = paused
-        if paused:
-            flow.pause()
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Slow the flow."""
-        self.paused = True
-        self._flow.pause()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Let the flow go on."""
-        self.paused = False
-        self._flow.resume()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Leave it to ``connectionLost``, which always follows."""
--- a/briarspur/carry.py
+++ b/briarspur/carry.py
@@ -26,7 +26,6 @@
 from briarspur.messages import (
     Abort,
     Action,
-    Answer,
     Begin,
     Cancel,
     Claim,
@@ -35,12 +34,12 @@
     Failure,
     FetchOutcome,
     Forward,
-    Refusal,
     Refuse,
     Reply,
     SettledClaim,
 )
 from briarspur.outgoing import dispatch_request, forward_request
+from briarspur.refusal import Answer, Refusal
 
 __all__ = ["Carrier", "CarrySettings", "DecisionCore"]
 
--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -9,11 +9,10 @@
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.http import HTTPChannel, Request
 
-from briarspur.answers import refusal_answer
 from briarspur.codes import Code
 from briarspur.headers import IDEMPOTENCY_KEY
-from briarspur.messages import Answer, Refusal
-from briarspur.settings import LimitSettings
+from briarspur.limitsettings import LimitSettings
+from briarspur.refusal import Answer, Refusal, refusal_answer
 
 __all__ = ["CallerChannel", "ChannelClock", "ChannelFactory"]
 
--- a/briarspur/classify.py
+++ b/briarspur/classify.py
@@ -5,8 +5,9 @@
 from expression import Error, Ok, Result
 
 from briarspur.codes import Code
-from briarspur.messages import Refusal, Request
+from briarspur.messages import Request
 from briarspur.policy import Policy, Rule, Service
+from briarspur.refusal import Refusal
 from briarspur.work import Classified
 
 __all__ = ["Classifier"]
--- a/briarspur/coord/members.py
+++ b/briarspur/coord/members.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from briarspur.coord.address import Address
+
 __all__ = [
     "Address",
     "Member",
@@ -24,14 +26,6 @@
     GONE = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Where a member answers probes."""
-
-    host: str
-    port: int
-
-
 @dataclass(frozen=True, slots=True)
 class Member:
     """One process.
--- a/briarspur/coord/membership.py
+++ b/briarspur/coord/membership.py
@@ -19,9 +19,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from briarspur.coord.address import Address
 from briarspur.coord.invariants import invariants
 from briarspur.coord.members import (
-    Address,
     Member,
     MembershipSettings,
     MemberState,
--- a/briarspur/coord/membertable.py
+++ b/briarspur/coord/membertable.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from briarspur.coord.address import Address
 from briarspur.coord.invariants import invariants
-from briarspur.coord.members import Address, Member, MemberState, MemberUpdate
+from briarspur.coord.members import Member, MemberState, MemberUpdate
 
 __all__ = ["LIVE", "REACHABLE", "MemberTable", "Record"]
 
--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -19,12 +19,10 @@
 from briarspur.members import MemberView
 from briarspur.messages import (
     Action,
-    Answer,
     Begin,
     Cancel,
     Failure,
     Kind,
-    Refusal,
     Refuse,
     Reply,
     Request,
@@ -34,6 +32,7 @@
 from briarspur.pipeline import Pipeline
 from briarspur.placement import Placement
 from briarspur.policy import Policy
+from briarspur.refusal import Answer, Refusal
 from briarspur.region import Splits
 from briarspur.routing import Routing
 from briarspur.target import Chooser, LeastInFlight
--- a/briarspur/daemon.py
+++ b/briarspur/daemon.py
@@ -11,7 +11,7 @@
 from briarspur import logs
 from briarspur.documents import load_settings
 from briarspur.errors import SettingsError
-from briarspur.settings import LoggedSettings
+from briarspur.processsettings import LoggedSettings
 
 __all__ = ["EXIT_FAILED", "EXIT_OK", "EXIT_SETTINGS", "Daemon", "run", "run_file"]
 
--- a/briarspur/dedupe.py
+++ b/briarspur/dedupe.py
@@ -6,7 +6,8 @@
 from briarspur.coord import once
 from briarspur.coord.keys import Key, parse_key
 from briarspur.members import MemberView, ViewedMember
-from briarspur.messages import Kind, Refusal
+from briarspur.messages import Kind
+from briarspur.refusal import Refusal
 from briarspur.work import Classified
 
 __all__ = [
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -15,10 +15,11 @@
 from briarspur import logs
 from briarspur.backend import BackendClient
 from briarspur.carry import Carrier, CarrySettings
+from briarspur.coord.address import Address
 from briarspur.coord.claims import Claims
 from briarspur.coord.errors import StoreConflictError, StoreError
 from briarspur.coord.follower import Follower
-from briarspur.coord.members import Address, Member
+from briarspur.coord.members import Member
 from briarspur.coord.membership import Membership
 from briarspur.coord.outcomes import OutcomePage, outcomes_of
 from briarspur.coord.store import ABSENT, StoredObject
--- a/briarspur/finals.py
+++ b/briarspur/finals.py
@@ -3,8 +3,9 @@
 from briarspur.codes import Code
 from briarspur.coord.keys import Key
 from briarspur.coord.once import KeptAnswer, KeyMemory, NotRun, NotRunProof
-from briarspur.messages import Abort, Action, Answer, Refusal, Refuse, Reply
+from briarspur.messages import Abort, Action, Refuse, Reply
 from briarspur.placement import Placement
+from briarspur.refusal import Answer, Refusal
 from briarspur.work import Work
 
 __all__ = ["Finals"]
--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -8,8 +8,8 @@
 from typing import Any, cast
 
 from briarspur import logs
+from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreError
-from briarspur.coord.members import Address
 from briarspur.gateway.applier import ChangeApplier
 from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.codec import Codec
@@ -36,8 +36,8 @@
 from briarspur.gateway.steering import Bounds, Refused, Steering
 from briarspur.gateway.sync import Sync
 from briarspur.gateway.warmthkeeper import WarmthKeeper
-from briarspur.messages import Refusal
 from briarspur.peerchannels import PeerChannels
+from briarspur.refusal import Refusal
 
 __all__ = ["Gateway"]
 
--- a/briarspur/gateway/connection.py
+++ b/briarspur/gateway/connection.py
@@ -12,7 +12,7 @@
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH
 
-from briarspur.backend import AnswerHead
+from briarspur.answerhead import AnswerHead
 
 __all__ = ["AnswerSink", "ConnectionOwner", "Expected", "TargetConnection"]
 
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from briarspur.attempts import Flow
-from briarspur.backend import AnswerHead
+from briarspur.answerhead import AnswerHead
 from briarspur.codes import Code
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.sending import IncomingRequest, Sending, Services
 from briarspur.gateway.steering import Attempt, Refused, Work
+from briarspur.heldrequest import Flow
 
 __all__ = ["Caller", "Exchange"]
 
--- a/briarspur/gateway/following.py
+++ b/briarspur/gateway/following.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from briarspur import logs
-from briarspur.coord.members import Address
+from briarspur.coord.address import Address
 from briarspur.errors import PeerError
 from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.gossip import Gossip
--- a/briarspur/gateway/front.py
+++ b/briarspur/gateway/front.py
@@ -7,17 +7,16 @@
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
 
-from briarspur.attempts import Flow
-from briarspur.backend import AnswerHead
-from briarspur.callerrequest import FlowProducer, HeldRequest
+from briarspur.answerhead import AnswerHead
 from briarspur.channel import CallerChannel, ChannelClock, ChannelFactory
 from briarspur.codes import CODES
 from briarspur.gateway.configuration import Limits
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.sending import IncomingRequest
 from briarspur.gateway.steering import Refused
-from briarspur.messages import Refusal
-from briarspur.settings import LimitSettings
+from briarspur.heldrequest import Flow, FlowProducer, HeldRequest
+from briarspur.limitsettings import LimitSettings
+from briarspur.refusal import Refusal
 
 __all__ = ["Front", "RequestTaker"]
 
--- a/briarspur/gateway/sending.py
+++ b/briarspur/gateway/sending.py
@@ -7,7 +7,7 @@
 
 from twisted.web.http_headers import Headers
 
-from briarspur.backend import AnswerHead
+from briarspur.answerhead import AnswerHead
 from briarspur.codes import Code
 from briarspur.gateway.connection import Expected, TargetConnection
 from briarspur.gateway.dialect import Dialect
--- a/briarspur/gateway/settings.py
+++ b/briarspur/gateway/settings.py
@@ -3,7 +3,7 @@
 from pydantic import ConfigDict, Field
 
 from briarspur.documents import Document
-from briarspur.settings import LoggedSettings
+from briarspur.processsettings import LoggedSettings
 
 __all__ = ["BoundSettings", "GatewaySettings", "StoreSettings"]
 
--- a/briarspur/inbound.py
+++ b/briarspur/inbound.py
@@ -11,7 +11,8 @@
 
 from briarspur import headers as names
 from briarspur.codes import Code
-from briarspur.messages import Refusal, Request
+from briarspur.messages import Request
+from briarspur.refusal import Refusal
 
 __all__ = ["RawRequest", "block_of", "read_forwarded", "read_lookup", "read_request"]
 
--- a/briarspur/interfaces.py
+++ b/briarspur/interfaces.py
@@ -6,7 +6,8 @@
 
 from briarspur.backend import Attempt, AttemptEvents, Outgoing
 from briarspur.codes import Code
-from briarspur.messages import Action, Answer, Failure, Priority, Request, SettledClaim
+from briarspur.messages import Action, Failure, Priority, Request, SettledClaim
+from briarspur.refusal import Answer
 
 __all__ = [
     "CarryObserver",
--- a/briarspur/keystore.py
+++ b/briarspur/keystore.py
@@ -15,7 +15,8 @@
 )
 from briarspur.coord.store import ObjectStore
 from briarspur.interfaces import FetchedOutcome
-from briarspur.messages import Answer, ClaimResult, SettledClaim
+from briarspur.messages import ClaimResult, SettledClaim
+from briarspur.refusal import Answer
 
 __all__ = ["ObjectKeyStore"]
 
--- a/briarspur/lookup.py
+++ b/briarspur/lookup.py
@@ -9,9 +9,9 @@
 from briarspur.coord import rendezvous
 from briarspur.coord.once import make_prefix
 from briarspur.members import MemberView, ViewedMember
-from briarspur.messages import Refusal
 from briarspur.ownership import SlotRule
 from briarspur.policy import Policy
+from briarspur.refusal import Refusal
 
 __all__ = ["LookupTable"]
 
--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -9,6 +9,7 @@
 from enum import Enum, IntEnum
 
 from briarspur.codes import Code
+from briarspur.refusal import Answer, Refusal
 
 __all__ = [
     "Abort",
@@ -145,30 +146,6 @@
     dispatch_only: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A whole answer that is small enough to be remembered."""
-
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A final answer made by briarspur itself.
-
-    Attributes
-    ----------
-    retry_after : float or None
-        Seconds after which the caller may come back; None if coming back is no use.
-    """
-
-    code: Code
-    detail: str = ""
-    retry_after: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class Dispatch:
     """Send the request to a backend server. From here on it counts as run, unless shown not to be.
--- a/briarspur/node.py
+++ b/briarspur/node.py
@@ -20,11 +20,12 @@
 from briarspur.loadreport import LoadMeter, SlotCount
 from briarspur.lookup import LookupTable
 from briarspur.members import MemberView
-from briarspur.messages import Action, Refusal, Request
+from briarspur.messages import Action, Request
 from briarspur.metrics import Metrics
 from briarspur.pacing import RegionPacing
 from briarspur.plan import PLAN_NAME, PlanOrder, parse_plan
 from briarspur.policy import Policy, compile_policy
+from briarspur.refusal import Refusal
 from briarspur.revision import decode_revision
 from briarspur.settings import EntrySettings
 from briarspur.status import BudgetStatus, DrainStatus, EntryStatus
--- a/briarspur/notready.py
+++ b/briarspur/notready.py
@@ -2,7 +2,7 @@
 
 from briarspur.attempts import Inbound
 from briarspur.codes import Code
-from briarspur.messages import Refusal
+from briarspur.refusal import Refusal
 
 __all__ = ["NotReady"]
 
--- a/briarspur/objectpeers.py
+++ b/briarspur/objectpeers.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Callable, Sequence
 
+from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreError
-from briarspur.coord.members import Address
 from briarspur.errors import PeerError
 from briarspur.gossip import ObjectCopy
 from briarspur.peering import VmReader
--- a/briarspur/objects.py
+++ b/briarspur/objects.py
@@ -11,7 +11,7 @@
 from briarspur.coord.store import ObjectStore, StoredObject
 from briarspur.platform.calls import StoreCalls
 from briarspur.platform.objectstore import PlatformObjectStore
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 from briarspur.storecalls import PlatformClient
 
 __all__ = ["VMS_PREFIX", "Vm", "VmList", "VmState", "open_store"]
--- a/briarspur/peerchannels.py
+++ b/briarspur/peerchannels.py
@@ -9,7 +9,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
-from briarspur.coord.members import Address
+from briarspur.coord.address import Address
 from briarspur.errors import PeerError
 
 __all__ = ["Address", "PeerChannels"]
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -11,9 +11,10 @@
 from grpclib.exceptions import GRPCError
 
 from briarspur import logs
+from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreError
 from briarspur.coord.joining import Joining
-from briarspur.coord.members import Address, MemberState, Probe, ProbeOut, Reply
+from briarspur.coord.members import MemberState, Probe, ProbeOut, Reply
 from briarspur.coord.membership import Membership
 from briarspur.coord.store import ABSENT
 from briarspur.core import Core
--- a/briarspur/peers.py
+++ b/briarspur/peers.py
@@ -11,7 +11,7 @@
 
 from briarspur import peer_pb2 as pb
 from briarspur import peerwire
-from briarspur.coord.members import Address
+from briarspur.coord.address import Address
 from briarspur.gossip import BorrowAsked, ObjectCopy, PeerProbe, PeerReply
 from briarspur.peer_grpc import PeerBase, PeerStub
 from briarspur.peerchannels import PeerChannels
--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -23,18 +23,17 @@
 from briarspur.members import MemberView, ViewedMember
 from briarspur.messages import (
     Action,
-    Answer,
     Claim,
     ClaimResult,
     Failure,
     FetchOutcome,
     Kind,
-    Refusal,
     Refuse,
     Reply,
     SettledClaim,
 )
 from briarspur.placement import Placement, Queued, Refused, ToEntry, ToTarget
+from briarspur.refusal import Answer, Refusal
 from briarspur.routing import Routing
 from briarspur.storewaits import StoreWaits
 from briarspur.target import OwnTarget
--- a/briarspur/placement.py
+++ b/briarspur/placement.py
@@ -10,9 +10,10 @@
 from briarspur.coord.outlier import Outliers
 from briarspur.loads import LoadReport, Loads
 from briarspur.members import MemberView, ViewedMember
-from briarspur.messages import Priority, Refusal
+from briarspur.messages import Priority
 from briarspur.ownership import SlotRule
 from briarspur.policy import Policy, Target
+from briarspur.refusal import Refusal
 from briarspur.target import Chooser, OwnTarget, OwnTargets
 from briarspur.waiting import Waiting
 from briarspur.work import Work
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -4,7 +4,7 @@
 
 from twisted.web.http_headers import Headers
 
-from briarspur.backend import AnswerHead
+from briarspur.answerhead import AnswerHead
 from briarspur.codes import CODES, Code
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.steering import Arrival
--- a/briarspur/platform/gateway.py
+++ b/briarspur/platform/gateway.py
@@ -1,7 +1,6 @@
-"""Starts a gateway on the platform."""
+"""The gateway as it runs on the platform."""
 
 import os
-import sys
 from collections.abc import Iterable
 from typing import Any
 
@@ -18,10 +17,10 @@
 from briarspur.platform.calls import StoreCalls
 from briarspur.platform.dialect import PlatformDialect
 from briarspur.platform.store import PlatformStore
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 from briarspur.storecalls import PlatformClient
 
-__all__ = ["main"]
+__all__ = ["PlatformCodec", "main"]
 
 SETTINGS_VARIABLE = "BRIARSPUR_BOOT"
 
@@ -80,6 +79,3 @@
     """Run the gateway with the settings file that the platform names."""
     return run_file("briarspur-gateway", GatewaySettings, build, os.environ[SETTINGS_VARIABLE])
 
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/briarspur/refusal.py
@@ -0,0 +1,55 @@
+"""Final answers of briarspur's own."""
+
+import json
+import math
+from dataclasses import dataclass
+
+from briarspur import headers as names
+from briarspur.codes import CODES, Code
+
+__all__ = ["Answer", "Refusal", "refusal_answer"]
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer that is small enough to be remembered."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer made by briarspur itself.
+
+    Attributes
+    ----------
+    retry_after : float or None
+        Seconds after which the caller may come back; None if coming back is no use.
+    """
+
+    code: Code
+    detail: str = ""
+    retry_after: float | None = None
+
+
+def refusal_answer(refusal: Refusal) -> Answer:
+    """Return the HTTP answer that tells a caller of a refusal."""
+    info = CODES[refusal.code]
+    document = {
+        "code": int(refusal.code),
+        "name": refusal.code.name,
+        "ran": info.ran.value,
+        "repeat": info.repeat.value,
+        "detail": refusal.detail or info.meaning,
+        "retry_after": refusal.retry_after,
+    }
+    pairs = [
+        (b"Content-Type", b"application/json"),
+        (names.CODE, b"%d" % refusal.code),
+        (names.RAN, info.ran.value.encode()),
+    ]
+    if refusal.retry_after is not None:
+        pairs.append((names.RETRY_AFTER, b"%d" % max(1, math.ceil(refusal.retry_after))))
+    return Answer(info.http_status, tuple(pairs), json.dumps(document).encode() + b"\n")
--- a/briarspur/region.py
+++ b/briarspur/region.py
@@ -7,8 +7,9 @@
 from expression import Error, Ok, Result
 
 from briarspur.codes import Code
-from briarspur.messages import MovedBy, Refusal
+from briarspur.messages import MovedBy
 from briarspur.policy import Policy, Service
+from briarspur.refusal import Refusal
 
 __all__ = ["RegionChoice", "RegionChooser", "Splits"]
 
--- a/briarspur/reporters.py
+++ b/briarspur/reporters.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreError
-from briarspur.coord.members import Address
 from briarspur.errors import BriarspurError
 from briarspur.gossip import ObjectCopy
 from briarspur.loadreport import LOAD_NAME, LoadDocument, parse_load
--- a/briarspur/routing.py
+++ b/briarspur/routing.py
@@ -7,9 +7,10 @@
 from briarspur.coord.escrow import EscrowSettings, base_shares
 from briarspur.coord.retry import RetryBudget
 from briarspur.coord.shift import ShiftBudget, ShiftCap
-from briarspur.messages import MovedBy, Priority, Refusal
+from briarspur.messages import MovedBy, Priority
 from briarspur.placement import Placed, Placement, Refused
 from briarspur.policy import Policy
+from briarspur.refusal import Refusal
 from briarspur.region import RegionChooser, Splits
 from briarspur.work import Work
 
--- a/briarspur/server.py
+++ b/briarspur/server.py
@@ -14,9 +14,9 @@
 from briarspur.codes import Code
 from briarspur.inbound import read_forwarded, read_lookup, read_request
 from briarspur.levels import LEVELS_PATH
-from briarspur.messages import Answer, Refusal
+from briarspur.limitsettings import LimitSettings
 from briarspur.metrics import Metrics
-from briarspur.settings import LimitSettings
+from briarspur.refusal import Answer, Refusal
 
 __all__ = ["EntryServer", "Lookup", "ServerSettings", "StatusPages"]
 
--- a/briarspur/settings.py
+++ b/briarspur/settings.py
@@ -1,44 +1,25 @@
-"""Settings of the programs, as JSON files."""
+"""Settings of the product's own programs, as JSON files."""
 
 from typing import Annotated
 
 from pydantic import Field
 
 from briarspur.documents import Document
+from briarspur.limitsettings import LimitSettings
+from briarspur.processsettings import Host, LoggedSettings, PlatformSettings, Port
 
 __all__ = [
     "BurnSettings",
     "CliSettings",
     "ConsoleSettings",
     "EntrySettings",
-    "LimitSettings",
-    "LoggedSettings",
-    "PlatformSettings",
     "StatsdSettings",
     "SteerSettings",
 ]
 
-Host = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$", description="an IP number")]
-Port = Annotated[int, Field(ge=0, le=65535)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 
 
-class PlatformSettings(Document):
-    """Where the platform's object API and VM list are.
-
-    Attributes
-    ----------
-    idle_s : float
-        Seconds for which an unused connection is kept. It must be closed before the platform closes
-        it: a write on a connection that the other side is just closing would be unclear.
-    """
-
-    host: Host
-    port: Port
-    timeout_s: float = Field(default=2.0, gt=0.0, le=60.0)
-    idle_s: float = Field(default=20.0, gt=0.0, le=600.0)
-
-
 class StatsdSettings(Document):
     """Where metrics go, over UDP."""
 
@@ -47,24 +28,6 @@
     prefix: str = Field(default="briarspur", pattern=r"^[a-z0-9_.-]*$")
 
 
-class LimitSettings(Document):
-    """Bounds on what one caller may cost an entry."""
-
-    header_bytes: int = Field(default=16_384, ge=1_024, le=1_048_576)
-    body_bytes: int = Field(default=1_048_576, ge=1_024, le=67_108_864)
-    receive_s: float = Field(default=10.0, ge=0.1, le=600.0, description="for a whole request")
-    callers: int = Field(default=10_000, ge=1, le=1_000_000, description="open connections")
-    queued: int = Field(default=200, ge=0, le=100_000, description="requests that wait for a slot")
-    remembered_keys: int = Field(default=50_000, ge=10, le=10_000_000)
-    remembered_answer_bytes: int = Field(default=16_384, ge=0, le=1_048_576)
-
-
-class LoggedSettings(Document):
-    """What the settings of every process have."""
-
-    log_level: str = Field(default="INFO", pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")
-
-
 class DaemonSettings(LoggedSettings):
     """What every daemon of the product's own deployments needs."""
 
--- a/briarspur/storecalls.py
+++ b/briarspur/storecalls.py
@@ -18,7 +18,7 @@
 
 from briarspur.coord.store import ABSENT
 from briarspur.endpoints import NumberEndpoints
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 
 __all__ = ["NoAnswerError", "NotSentError", "PlatformClient", "Response"]
 
--- a/standins/objectapi.py
+++ b/standins/objectapi.py
@@ -14,7 +14,7 @@
 from briarspur.documents import Document, load_settings
 from briarspur.objects import VMS_PREFIX
 from briarspur.platform.objectstore import place
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 from standins import serving
 from standins.objectstate import CallError, Objects
 from standins.rate import Rate
--- a/tests/coord/test_membership.py
+++ b/tests/coord/test_membership.py
@@ -12,9 +12,9 @@
     run_state_machine_as_test,
 )
 
+from briarspur.coord.address import Address
 from briarspur.coord.invariants import invariants
 from briarspur.coord.members import (
-    Address,
     Member,
     MembershipSettings,
     MemberState,
--- a/tests/gateway/followers.py
+++ b/tests/gateway/followers.py
@@ -5,8 +5,8 @@
 from collections import Counter
 from typing import Any
 
+from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreUnavailableError
-from briarspur.coord.members import Address
 from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.fleet import Fleet
--- a/tests/gateway/spreading.py
+++ b/tests/gateway/spreading.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from briarspur.coord.members import Address
+from briarspur.coord.address import Address
 from briarspur.errors import PeerError
 from briarspur.gateway.app import CHANNEL_IDLE
 from briarspur.gateway.availability import StoreAvailability
--- a/tests/gateway/test_applier.py
+++ b/tests/gateway/test_applier.py
@@ -14,7 +14,7 @@
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.replica import Kind, StoredChange, Way
 from briarspur.gateway.steering import Attempt, Bounds, Refused
-from briarspur.platform.__main__ import PlatformCodec
+from briarspur.platform.gateway import PlatformCodec
 from tests.gateway.samples import arrival, begun, sent, steering
 
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -6,8 +6,7 @@
 
 from twisted.web.http_headers import Headers
 
-from briarspur.attempts import Flow
-from briarspur.backend import AnswerHead
+from briarspur.answerhead import AnswerHead
 from briarspur.codes import Code
 from briarspur.gateway.configuration import RouteKind
 from briarspur.gateway.exchange import Exchange
@@ -15,6 +14,7 @@
 from briarspur.gateway.pool import ConnectionPool
 from briarspur.gateway.sending import IncomingRequest, Services
 from briarspur.gateway.steering import Attempt, Refused, Steering, Work
+from briarspur.heldrequest import Flow
 from briarspur.platform.dialect import PlatformDialect
 from tests.gateway.samples import begun, registration, route, steering
 from tests.httpfakes import Connection, RawBackend
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -8,7 +8,7 @@
 from briarspur.gateway.configuration import Limits
 from briarspur.gateway.front import HELD_SHARE, Front, FrontRequest
 from briarspur.gateway.sending import IncomingRequest
-from briarspur.messages import Refusal
+from briarspur.refusal import Refusal
 
 MEMORY = 20_000_000.0
 BODY = 360_000
--- a/tests/httpfakes.py
+++ b/tests/httpfakes.py
@@ -10,25 +10,24 @@
 from briarspur.carry import Carrier, CarrySettings
 from briarspur.codes import Code
 from briarspur.interfaces import FetchedOutcome
+from briarspur.limitsettings import LimitSettings
 from briarspur.messages import (
     Abort,
     Action,
-    Answer,
     Begin,
     Cancel,
     ClaimResult,
     Dispatch,
     Failure,
     Priority,
-    Refusal,
     Refuse,
     Request,
     SettledClaim,
     TargetAddress,
 )
 from briarspur.metrics import NullMetrics
+from briarspur.refusal import Answer, Refusal
 from briarspur.server import EntryServer, ServerSettings
-from briarspur.settings import LimitSettings
 from tests.loop import the_reactor
 
 __all__ = ["DirectCore", "FakeKeys", "Front", "RawBackend", "RawCaller", "Read"]
--- a/tests/platform/test_objectstore.py
+++ b/tests/platform/test_objectstore.py
@@ -13,7 +13,7 @@
 from briarspur.coord.store import ABSENT, ObjectStore
 from briarspur.platform.calls import StoreCalls
 from briarspur.platform.objectstore import MAX_VALUE_BYTES, PlatformObjectStore
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 from briarspur.storecalls import PlatformClient
 from standins.objectapi import ObjectApi
 from standins.objectstate import PAGE
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -16,7 +16,7 @@
 from briarspur.gateway.replica import Kind
 from briarspur.platform.calls import StoreCalls
 from briarspur.platform.store import PlatformStore
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 from briarspur.storecalls import PlatformClient
 from standins.objectapi import ObjectApi
 from standins.objectstate import PAGE
--- a/tests/standins/test_examples.py
+++ b/tests/standins/test_examples.py
@@ -9,12 +9,12 @@
 from briarspur.documents import load_settings
 from briarspur.lint import warnings_of
 from briarspur.policy import parse_policy
+from briarspur.processsettings import PlatformSettings
 from briarspur.settings import (
     BurnSettings,
     CliSettings,
     ConsoleSettings,
     EntrySettings,
-    PlatformSettings,
     SteerSettings,
 )
 from standins.deployment import EXAMPLES, Deployment
--- a/tests/test_backend.py
+++ b/tests/test_backend.py
@@ -3,7 +3,8 @@
 import asyncio
 import socket
 
-from briarspur.backend import AnswerHead, Attempt, AttemptError, BackendClient, Outgoing
+from briarspur.answerhead import AnswerHead
+from briarspur.backend import Attempt, AttemptError, BackendClient, Outgoing
 from briarspur.messages import Failure
 from tests.httpfakes import HOST, Connection, RawBackend
 from tests.loop import LoopTestCase, eventually, fired, the_reactor
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 
+from briarspur.limitsettings import LimitSettings
 from briarspur.messages import Failure
-from briarspur.settings import LimitSettings
 from tests.httpfakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
 from tests.loop import LoopTestCase, eventually
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,11 +9,7 @@
 from briarspur.core import Core, CoreSettings
 from briarspur.exchange import LEAVING_LIFETIME_S, LeavingNotice, News
 from briarspur.members import MemberView
-from briarspur.messages import (
-    Begin,
-    Dispatch,
-    Failure,
-)
+from briarspur.messages import Begin, Dispatch, Failure
 from tests.bench import Bench, make_core, make_view
 from tests.examples import small_policy
 
--- a/tests/test_core_once.py
+++ b/tests/test_core_once.py
@@ -6,7 +6,6 @@
 from briarspur.codes import CODES, Code, Ran
 from briarspur.coord.invariants import invariants
 from briarspur.messages import (
-    Answer,
     ClaimResult,
     Dispatch,
     Failure,
@@ -16,6 +15,7 @@
     Reply,
     SettledClaim,
 )
+from briarspur.refusal import Answer
 from tests.bench import WALL, Bench, body, make_core, make_view
 
 DEADLINE_S = 2.0
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,7 +4,7 @@
 
 from briarspur.documents import parse
 from briarspur.errors import DocumentError
-from briarspur.settings import PlatformSettings
+from briarspur.processsettings import PlatformSettings
 
 
 class ParseTest(unittest.TestCase):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -4,15 +4,8 @@
 import math
 
 from briarspur.codes import Code
-from briarspur.messages import (
-    Action,
-    EntryAddress,
-    Failure,
-    Forward,
-    Refusal,
-    Refuse,
-    Request,
-)
+from briarspur.messages import Action, EntryAddress, Failure, Forward, Refuse, Request
+from briarspur.refusal import Refusal
 from tests.httpfakes import HOST, Connection, DirectCore, Front, RawBackend, RawCaller, Read
 from tests.loop import LoopTestCase
 
--- a/tests/test_objectpeers.py
+++ b/tests/test_objectpeers.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreUnavailableError
-from briarspur.coord.members import Address
 from briarspur.errors import PeerError
 from briarspur.gossip import ObjectCopy
 from briarspur.objectpeers import MemberPeers, newest_copy
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -5,7 +5,8 @@
 import unittest
 from typing import Any, cast
 
-from briarspur.coord.members import Address, Member
+from briarspur.coord.address import Address
+from briarspur.coord.members import Member
 from briarspur.coord.membership import Membership
 from briarspur.core import Core
 from briarspur.errors import PeerError
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from briarspur.coord.members import Address, Member, MemberState, MemberUpdate
+from briarspur.coord.address import Address
+from briarspur.coord.members import Member, MemberState, MemberUpdate
 from briarspur.coord.quarantine import Verdict
 from briarspur.errors import PeerError
 from briarspur.exchange import LeavingNotice, News
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,8 +6,8 @@
 import unittest.mock
 
 from briarspur.codes import CODES, Code
+from briarspur.limitsettings import LimitSettings
 from briarspur.messages import TargetAddress
-from briarspur.settings import LimitSettings
 from tests.httpfakes import Connection, DirectCore, Front, RawBackend, RawCaller, Read
 from tests.loop import LoopTestCase, eventually
 
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -4,10 +4,10 @@
 import unittest
 from dataclasses import dataclass, field
 
+from briarspur.coord.address import Address
 from briarspur.coord.envelope import Envelope
 from briarspur.coord.errors import StoreUnavailableError
 from briarspur.coord.invariants import invariants
-from briarspur.coord.members import Address
 from briarspur.coord.store import StoredObject
 from briarspur.coord.writer import Written
 from briarspur.errors import PeerError
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,7 +19,6 @@
 from briarspur.messages import (
     Abort,
     Action,
-    Answer,
     Begin,
     Cancel,
     Claim,
@@ -34,6 +33,7 @@
     SettledClaim,
 )
 from briarspur.policy import Policy, compile_policy, parse_policy
+from briarspur.refusal import Answer
 from tests.bench import body, make_view
 from tests.examples import small_policy
 
--- a/tools/capacityfleet.py
+++ b/tools/capacityfleet.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from briarspur.coord.members import Address, Member, Probe, Reply
+from briarspur.coord.address import Address
+from briarspur.coord.members import Member, Probe, Reply
 from briarspur.coord.membership import Membership
 from briarspur.exchange import News
 from briarspur.gossip import Gossip, ObjectVersion, PeerProbe, PeerReply
--- a/tools/limitcost.py
+++ b/tools/limitcost.py
@@ -11,8 +11,9 @@
 from functools import partial
 
 from briarspur import peerwire
+from briarspur.coord.address import Address
 from briarspur.coord.escrow import Account
-from briarspur.coord.members import Address, Member, MemberState, MemberUpdate, Probe, Reply
+from briarspur.coord.members import Member, MemberState, MemberUpdate, Probe, Reply
 from briarspur.coord.membership import Membership
 from briarspur.coord.rendezvous import owners
 from briarspur.coord.shift import ShiftBudget, ShiftCap
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -17,7 +17,7 @@
 
 from pydantic import BaseModel  # noqa: E402
 
-from briarspur import settings  # noqa: E402
+from briarspur import limitsettings, processsettings, settings  # noqa: E402
 from briarspur.codes import CODES  # noqa: E402
 from briarspur.exits import EXIT_MEANINGS  # noqa: E402
 from briarspur.gateway import settings as gatewaysettings  # noqa: E402
@@ -54,10 +54,11 @@
     parts = [
         ["Settings are JSON files. Unknown keys are refused; each fault is named by its path."]
     ]
-    for module in (settings, gatewaysettings):
+    for module in (settings, limitsettings, processsettings, gatewaysettings):
         for name in module.__all__:
             model = getattr(module, name)
-            parts.append(_model_part(name, model.model_json_schema(), model))
+            if isinstance(model, type) and issubclass(model, BaseModel):
+                parts.append(_model_part(name, model.model_json_schema(), model))
     return _page("Settings", *parts)
 
 
