Customers: API keys, their names to backend servers, and their home regions

Customers are data of the configuration, found by the digest of a key, so that no key is kept or shown. Without a known key a request is answered 401, unless its route is public; an entry that may not know the newest configuration, or could not read a customer, says not ready instead, and does the same for unknown routes. Regions of route and customer bind both, for every attempt. A customer that can't be read leaves the others in force.

--- a/briarspur/codes.py
+++ b/briarspur/codes.py
@@ -41,6 +41,7 @@
     KEY_REQUIRED = 2003
     KEY_REUSED = 2005
     NO_ROUTE = 2009
+    UNKNOWN_CUSTOMER = 2010
     HEADERS_TOO_LARGE = 2006
     BODY_TOO_LARGE = 2007
     CALLER_TOO_SLOW = 2008
@@ -55,6 +56,7 @@
     RETRY_BUDGET_SPENT = 2110
     ATTEMPTS_SPENT = 2112
     MEMORY_FULL = 2111
+    QUOTA_SPENT = 2113
     OUTCOME_UNKNOWN = 3000
     HOME_GONE = 3001
     DEADLINE_PASSED_AFTER_DISPATCH = 3002
@@ -105,6 +107,9 @@
     Code.NO_ROUTE: CodeInfo(
         404, Ran.NO, Repeat.AFTER_MENDING, "no route of the configuration has this host and path"
     ),
+    Code.UNKNOWN_CUSTOMER: CodeInfo(
+        401, Ran.NO, Repeat.AFTER_MENDING, "no customer holds the API key of the request"
+    ),
     Code.HEADERS_TOO_LARGE: CodeInfo(
         431, Ran.NO, Repeat.AFTER_MENDING, "the request headers exceed the limit"
     ),
@@ -147,6 +152,9 @@
     Code.MEMORY_FULL: CodeInfo(
         503, Ran.NO, Repeat.AFTER_RETRY_AFTER, "the entry remembers as many keys as it may"
     ),
+    Code.QUOTA_SPENT: CodeInfo(
+        429, Ran.NO, Repeat.AFTER_RETRY_AFTER, "the customer's quota over all entries is used up"
+    ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
         502, Ran.UNKNOWN, Repeat.ASK_FIRST, "the connection broke after the request was handed over"
     ),
--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -92,6 +92,8 @@
                 retry_ratio=settings.bounds.retry_ratio,
                 retry_window=settings.bounds.retry_window_s,
                 retry_slack=settings.bounds.retry_slack,
+                configuration_s=settings.bounds.configuration_s,
+                revoke_s=settings.bounds.revoke_after_s,
             ),
         )
         self.log = RequestLog(self._reactor.seconds, lambda: self.following.confirmed_age())
@@ -133,6 +135,7 @@
         )
         self.syncs = {kind: self._make_sync(kind) for kind in FOLLOWED}
         self.following.syncs = self.syncs
+        self.steering.knowledge_age = self.following.confirmed_age
         self._warmth = WarmthKeeper(
             source,
             self.steering.loads,
--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -72,6 +72,8 @@
         Servers not to be used again.
     size : int
         Bytes of its body, which travel to the server as those of the answer travel back.
+    regions : frozenset of str
+        Where it may run; empty if anywhere.
     """
 
     route: Route
@@ -79,6 +81,14 @@
     key: int | None
     tried: Collection[Target] = ()
     size: int = 0
+    regions: frozenset[str] = frozenset()
+
+    @property
+    def pool(self) -> str:
+        """A name of the servers among which is chosen; their order for an object is kept by it."""
+        if not self.regions:
+            return self.service
+        return f"{self.service}@{','.join(sorted(self.regions))}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +131,7 @@
         if wish.key is None or len(targets) <= 1:
             return self._best(wish, [Ranked(target, 0.0) for target in targets], now)
         span = self._span(wish)
-        ranked = self._preferences.ranked(wish.service, wish.key, targets, epoch, span)
+        ranked = self._preferences.ranked(wish.pool, wish.key, targets, epoch, span)
         used = pressure(targets)
         is_warm = any(wish.key in target.warmth for target in targets)
         spread = used <= SPREAD_PRESSURE or not is_warm
@@ -163,9 +173,9 @@
         times = self._work.route(wish.route.name, wish.route.goal)
         cost = (wish.size + times.size) * self._transit.byte_cost(best.target) * COPY_BYTES
         extra = times.cold - times.warm
-        if cost <= 0.0 or not self._debts.add(wish.service, key, cost, extra):
+        if cost <= 0.0 or not self._debts.add(wish.pool, key, cost, extra):
             return None
-        near = self._preferences.in_zone(wish.service, key, targets, epoch)
+        near = self._preferences.in_zone(wish.pool, key, targets, epoch)
         if any(key in target.warmth for target in near):
             return None
         for target in near:
@@ -173,7 +183,7 @@
                 continue
             choice = self._best(wish, [Ranked(target, 0.0)], now)
             if choice is not None:
-                self._debts.settle(wish.service, key)
+                self._debts.settle(wish.pool, key)
                 return choice
         return None
 
@@ -192,7 +202,7 @@
         time. So it gets one from time to time while it is idle, of those that prefer it, until it
         knows as many as half of the others.
         """
-        for first in self._preferences.first(wish.service, key, targets, epoch, span):
+        for first in self._preferences.first(wish.pool, key, targets, epoch, span):
             invited = self._invite(first, wish, targets, now)
             if invited is not None:
                 return invited
@@ -225,7 +235,7 @@
         least = math.inf
         for candidate in candidates:
             target = candidate.target
-            if target in wish.tried or not self._usable(target, route, now):
+            if target in wish.tried or not self._usable(target, now):
                 continue
             warm = not route.sticky or (wish.key is not None and wish.key in target.warmth)
             if not warm and not spread and target.load > 0:
@@ -277,11 +287,9 @@
             return False
         return len(target.warmth) < NEWCOMER_SHARE * mean_objects(targets)
 
-    def _usable(self, target: Target, route: Route, now: float) -> bool:
+    def _usable(self, target: Target, now: float) -> bool:
         if not target.breaker.allows(now):
             return False
-        if route.regions and target.region not in route.regions:
-            return False
         if target.cold_until > now:
             bucket = target.cold_rate
             return bucket is not None and bucket.available(now) >= 1.0
--- a/briarspur/gateway/configuration.py
+++ b/briarspur/gateway/configuration.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from briarspur.gateway.customers import Customers
+
 __all__ = [
     "Configuration",
     "Limits",
@@ -56,6 +58,8 @@
         Backend servers answer faster for an object that they handled lately.
     regions : frozenset of str
         Where requests may run; empty if anywhere.
+    public : bool
+        Its requests need no API key.
     """
 
     name: str
@@ -69,6 +73,7 @@
     priority: int
     sticky: bool
     regions: frozenset[str] = frozenset()
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -122,6 +127,7 @@
     services_by_name: dict[str, Service]
     limits: Limits = Limits()
     complete: bool = True
+    customers: Customers = field(default_factory=Customers, compare=False)
     table: "RouteTable" = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/briarspur/gateway/dialect.py
+++ b/briarspur/gateway/dialect.py
@@ -26,6 +26,7 @@
         body: bytes,
         target_id: str,
         left_ms: int,
+        customer_name: str | None = None,
     ) -> bytes:
         """Return a request as it goes to a backend server.
 
@@ -35,6 +36,8 @@
             The only server that may run it.
         left_ms : int
             Milliseconds that the server may take.
+        customer_name : str, optional
+            Whose request it is; nothing that the caller says of that goes on.
         """
 
     def belongs(self, headers: Headers, request_id: bytes) -> bool:
--- a/briarspur/gateway/sending.py
+++ b/briarspur/gateway/sending.py
@@ -177,6 +177,7 @@
             request.body,
             self.attempt.target.registration.target_id,
             math.floor(left * 1000.0),
+            None if work.customer is None else work.customer.name,
         )
         request_id = work.request_id.encode("latin-1")
         expected = Expected(request.method, lambda headers: dialect.belongs(headers, request_id))
--- a/briarspur/gateway/settings.py
+++ b/briarspur/gateway/settings.py
@@ -1,5 +1,7 @@
 """Settings of the gateway."""
 
+import math
+
 from pydantic import ConfigDict, Field
 
 from briarspur.documents import Document
@@ -38,6 +40,19 @@
     drain_ms: float = Field(default=2_500.0, gt=0.0)
     configuration_ms: float = Field(default=2_500.0, gt=0.0)
     evacuation_ms: float = Field(default=5_000.0, gt=0.0)
+    strict_revoke: bool = False
+    revoke_ms: float = Field(default=5_000.0, gt=0.0)
+    quota_window_s: float = Field(default=5.0, gt=0.0)
+
+    @property
+    def configuration_s(self) -> float:
+        """Seconds after its acknowledgement in which a configuration must be in force."""
+        return self.configuration_ms / 1_000.0
+
+    @property
+    def revoke_after_s(self) -> float:
+        """Seconds without news of the store after which no key is taken for valid."""
+        return self.revoke_ms / 1_000.0 if self.strict_revoke else math.inf
 
     @property
     def in_force_s(self) -> float:
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -4,13 +4,15 @@
 seconds on the caller's monotonic clock.
 """
 
-from collections.abc import Mapping
+import math
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from briarspur.codes import Code
 from briarspur.gateway.chooser import Choice, Chooser, Wish
 from briarspur.gateway.coldstart import cold_bucket
 from briarspur.gateway.configuration import Configuration, Route, WeightedTurns
+from briarspur.gateway.customers import Customer
 from briarspur.gateway.loadview import LoadView
 from briarspur.gateway.outcome import NOT_RUN, UNSENT, Outcome
 from briarspur.gateway.retrybudget import RetryBudget
@@ -41,11 +43,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Figures of the deployment; times in seconds."""
+    """Figures of the deployment; times in seconds.
+
+    Attributes
+    ----------
+    configuration_s : float
+        Time in which a configuration must be in force after its acknowledgement.
+    revoke_s : float
+        Time after which an entry that can't know which keys were taken away admits none; infinite
+        if it goes on with those that it knows.
+    """
 
     retry_ratio: float = 0.2
     retry_window: float = 10.0
     retry_slack: float = 60.0
+    configuration_s: float = 2.5
+    revoke_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +71,8 @@
         Seconds the caller will wait; infinite if it did not say.
     size : int
         Bytes of its body.
+    key_digest : bytes or None
+        Stands for the API key that it carries; None if it carries none.
     """
 
     request_id: str
@@ -66,6 +81,7 @@
     key: bytes | None
     patience: float
     size: int = 0
+    key_digest: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +95,15 @@
 
 @dataclass(slots=True)
 class Work:
-    """One request on its way."""
+    """One request on its way.
+
+    Attributes
+    ----------
+    customer : Customer or None
+        Whose request it is; None if it needs no key and carries none that is known.
+    regions : frozenset of str
+        Where it may run by its route and its customer; None if they have no region in common.
+    """
 
     request_id: str
     route: Route
@@ -89,6 +113,8 @@
     deadline: float
     version: int
     size: int = 0
+    customer: Customer | None = None
+    regions: frozenset[str] | None = frozenset()
     tried: list[Target] = field(default_factory=list)
     sent: int = 0
     hedged: bool = False
@@ -146,6 +172,7 @@
         self.transit = TransitTimes(zone, region)
         self.times = WorkTimes()
         self.entries: list[str] = [me]
+        self.knowledge_age: Callable[[], float] = lambda: 0.0
         # Shares of a limit are divided by all entries that are recorded, not by those that seem to
         # live. An entry that is leaving, late with its news or not heard of yet still sends
         # retries; divided by a smaller number, the shares of all would add up to more than the
@@ -187,12 +214,21 @@
         if configuration is None:
             return Refused(Code.NOT_READY, STARTING_RETRY_AFTER)
         route = configuration.table.find(arrival.host, arrival.path)
-        if route is None and not configuration.complete:
+        fresh = self._knows_newest()
+        if route is None and not (configuration.complete and fresh):
             # A route that could not be read may allow it. Callers take "no such route" as final and
             # come back after this.
-            return Refused(Code.NOT_READY, MOST_RETRY_AFTER, "a route could not be read")
+            return Refused(Code.NOT_READY, MOST_RETRY_AFTER, "a route may not be known yet")
         if route is None:
             return Refused(Code.NO_ROUTE)
+        customers = configuration.customers
+        customer = customers.find(arrival.key_digest)
+        if customer is None and customers.required and not route.public:
+            if customers.complete and fresh:
+                return Refused(Code.UNKNOWN_CUSTOMER)
+            return Refused(Code.NOT_READY, MOST_RETRY_AFTER, "the key may not be known yet")
+        if customer is not None and self._may_be_revoked():
+            return Refused(Code.NOT_READY, MOST_RETRY_AFTER, "the key may have been taken away")
         patience = min(arrival.patience, route.timeout)
         service = self._turns(route).next()
         self._budget(service).request_arrived(now)
@@ -206,19 +242,23 @@
             deadline=now + patience,
             version=configuration.version,
             size=arrival.size,
+            customer=customer,
+            regions=common_regions(route, customer),
         )
 
     def next_attempt(self, work: Work, now: float) -> Attempt | Refused:
         """Choose a server for a request."""
         if work.deadline - now < SHORTEST_TRY:
             return Refused(Code.DEADLINE_TOO_SHORT)
-        targets = self.targets.by_service.get(work.service)
+        if work.regions is None:
+            return Refused(Code.NO_TARGET, MOST_RETRY_AFTER, "route and customer share no region")
         if not len(self.targets):
             return Refused(Code.NOT_READY, STARTING_RETRY_AFTER)
+        targets = self.targets.in_regions(work.service, work.regions)
         if not targets:
             return Refused(Code.NO_TARGET, MOST_RETRY_AFTER)
         self._prepare_cold(work, targets, now)
-        wish = Wish(work.route, work.service, work.key, work.tried, work.size)
+        wish = Wish(work.route, work.service, work.key, work.tried, work.size, work.regions)
         choice = self._chooser.choose(wish, targets, self.targets.epoch, now)
         if choice is None:
             suspected = sum(target.breaker.suspected(now) for target in targets)
@@ -297,6 +337,13 @@
 
     # Parts
 
+    def _knows_newest(self) -> bool:
+        """Return whether any other configuration may only have come within its bound."""
+        return self.knowledge_age() <= self._bounds.configuration_s
+
+    def _may_be_revoked(self) -> bool:
+        return self.knowledge_age() > self._bounds.revoke_s
+
     def _send(self, work: Work, choice: Choice, now: float) -> Attempt:
         target = choice.target
         queued = target.load >= target.registration.slots
@@ -347,7 +394,7 @@
         key = work.key
         if key is None:
             return
-        others = self.targets.by_service.get(work.service, ())
+        others = self.targets.in_regions(work.service, work.regions or frozenset())
         if any(key in other.warmth for other in others if other is not target):
             target.warmth.discard(key)
 
@@ -387,3 +434,12 @@
             budget = RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
             self._budget_by_service[service] = budget
         return budget
+
+
+def common_regions(route: Route, customer: Customer | None) -> frozenset[str] | None:
+    """Return where a request may run, empty if anywhere; None if nowhere."""
+    if customer is None or not customer.regions:
+        return route.regions
+    if not route.regions:
+        return customer.regions
+    return (route.regions & customer.regions) or None
--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -32,6 +32,7 @@
         self._zone_regions = zone_regions
         self._by_id: dict[str, Target] = {}
         self.by_service: dict[str, list[Target]] = {}
+        self._by_regions: dict[tuple[str, frozenset[str]], list[Target]] = {}
         self.by_number: dict[int, Target] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.epoch = 0
@@ -44,6 +45,17 @@
         """Return the current incarnation of a target."""
         return self._by_id.get(target_id)
 
+    def in_regions(self, service: str, regions: frozenset[str]) -> list[Target]:
+        """Return a service's targets that take new work, of some regions only if any are named."""
+        targets = self.by_service.get(service, [])
+        if not regions:
+            return targets
+        found = self._by_regions.get((service, regions))
+        if found is None:
+            found = [target for target in targets if target.region in regions]
+            self._by_regions[service, regions] = found
+        return found
+
     def takes_work(self, target: Target) -> bool:
         """Return whether this incarnation of a target is still there and may be sent requests."""
         return self._by_id.get(target.registration.target_id) is target and self._is_open(target)
@@ -133,6 +145,7 @@
             if self._is_open(target):
                 by_service[target.registration.service].append(target)
         self.by_service = dict(by_service)
+        self._by_regions.clear()
         self.epoch += 1
 
 
--- a/briarspur/platform/configdocument.py
+++ b/briarspur/platform/configdocument.py
@@ -18,6 +18,7 @@
     Service,
     SplitPart,
 )
+from briarspur.gateway.customers import Customer, Customers, key_digest
 from briarspur.platform.faults import first_fault
 
 __all__ = ["CONFIGURATION_NAME", "decode_configuration"]
@@ -59,6 +60,15 @@
     attempts: int = Field(default=1, ge=1)
     sticky: bool = False
     allowedRegions: list[str] = []  # noqa: N815
+    public: bool = False
+
+
+class _CustomerSpec(_Spec):
+    apiKeys: list[str]  # noqa: N815
+    priority: int = 0
+    ratePerS: float = Field(default=0.0, ge=0.0, allow_inf_nan=False)  # noqa: N815
+    burst: float = Field(default=0.0, ge=0.0, allow_inf_nan=False)
+    allowedRegions: list[str] = []  # noqa: N815
 
 
 class _ServiceSpec(_Spec):
@@ -90,11 +100,12 @@
     resourceList: list[Any]  # noqa: N815
 
 
-ROUTES, SERVICES, LIMITS = "routes", "services", "limits"
+ROUTES, SERVICES, LIMITS, CUSTOMERS = "routes", "services", "limits", "tenants"
 UNNAMED_PART = "part"
 """What a part is called in faults if it does not say what it is."""
 MAY_BE_ROUTES = frozenset({ROUTES, UNNAMED_PART})
-HARMLESS_DEFAULTS = frozenset({"latencyGoalMs", "priority", "attempts", "sticky"})
+MAY_BE_CUSTOMERS = frozenset({CUSTOMERS, UNNAMED_PART})
+HARMLESS_DEFAULTS = frozenset({"latencyGoalMs", "priority", "attempts", "sticky", "public"})
 """Fields of a route whose default harms nobody: one server a request, no preference. A mistyped
 list of regions or services has no such default, so the route is skipped."""
 
@@ -110,12 +121,14 @@
         reader.take(part)
     if reader.faults and not reader.routes:
         return Error(f"no route can be used: {reader.faults[0].reason}")
+    customers = reader.customers()
     configuration = Configuration(
         document.version,
         tuple(reader.routes),
         reader.services_by_name,
         reader.limits,
-        complete=not any(fault.skipped and fault.part in MAY_BE_ROUTES for fault in reader.faults),
+        complete=not reader.left_out(MAY_BE_ROUTES),
+        customers=customers,
     )
     return Ok(ReadConfiguration(configuration, tuple(reader.faults)))
 
@@ -127,6 +140,7 @@
         self.routes: list[Route] = []
         self.services_by_name: dict[str, Service] = {}
         self.limits = Limits()
+        self.digests_by_customer: dict[Customer, list[bytes]] = {}
         self.faults: list[PartFault] = []
 
     def take(self, part: Any) -> None:
@@ -144,6 +158,20 @@
         except ValueError as error:
             self._fault(resource.entryKind, name, str(error))
 
+    def left_out(self, parts: frozenset[str]) -> bool:
+        """Tell whether a part of one of these kinds could not be read."""
+        return any(fault.skipped and fault.part in parts for fault in self.faults)
+
+    def customers(self) -> Customers:
+        """Return the customers, and note those that claim one key."""
+        has_customers = self.digests_by_customer or self.left_out(frozenset({CUSTOMERS}))
+        if not has_customers:
+            return Customers()
+        found = Customers(self.digests_by_customer, complete=not self.left_out(MAY_BE_CUSTOMERS))
+        for name in sorted(found.shared):
+            self._fault(CUSTOMERS, name, "another customer has the same key", skipped=False)
+        return found
+
     def _decode(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         if kind == ROUTES:
             self.routes.append(self._route(name, spec))
@@ -151,6 +179,21 @@
             self.services_by_name[name] = _service(name, _ServiceSpec.model_validate(spec))
         elif kind == LIMITS:
             self.limits = _limits(_LimitsSpec.model_validate(spec))
+        elif kind == CUSTOMERS:
+            self._take_customer(name, _CustomerSpec.model_validate(spec))
+
+    def _take_customer(self, name: str, spec: _CustomerSpec) -> None:
+        if not name or not name.isprintable():
+            raise ValueError("no name that a header can carry")
+        if any(customer.name == name for customer in self.digests_by_customer):
+            raise ValueError("the name is taken")
+        keys = [key for key in spec.apiKeys if key]
+        if len(keys) < len(spec.apiKeys):
+            self._fault(CUSTOMERS, name, "an empty key is left out", skipped=False)
+        customer = Customer(
+            name, spec.priority, spec.ratePerS, spec.burst, frozenset(spec.allowedRegions)
+        )
+        self.digests_by_customer[customer] = [key_digest(key.encode()) for key in keys]
 
     def _route(self, name: str, spec: dict[str, Any]) -> Route:
         try:
@@ -195,6 +238,7 @@
         priority=spec.priority,
         sticky=spec.sticky,
         regions=frozenset(spec.allowedRegions),
+        public=spec.public,
     )
 
 
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -6,6 +6,7 @@
 
 from briarspur.answerhead import AnswerHead
 from briarspur.codes import CODES, Code
+from briarspur.gateway.customers import key_digest
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.steering import Arrival
 from briarspur.headers import HOP_BY_HOP, connection_tokens, last_value
@@ -20,6 +21,8 @@
     {
         names.DEADLINE_MS.lower(),
         names.EXPECTED_INSTANCE.lower(),
+        names.API_KEY.lower(),
+        names.CUSTOMER.lower(),
         b"content-length",
         b"expect",
     }
@@ -39,6 +42,7 @@
             key=last_value(headers, names.AFFINITY_KEY),
             patience=_patience(last_value(headers, names.DEADLINE_MS)),
             size=size,
+            key_digest=_key_digest(headers),
         )
 
     def request_bytes(
@@ -49,6 +53,7 @@
         body: bytes,
         target_id: str,
         left_ms: int,
+        customer_name: str | None = None,
     ) -> bytes:
         """Return a request as it goes to a backend server."""
         dropped = HOP_BY_HOP | SET_BY_US | connection_tokens(headers)
@@ -58,6 +63,8 @@
                 lines.extend(b"%b: %b" % (name, value) for value in values)
         lines.append(b"%b: %d" % (names.DEADLINE_MS, left_ms))
         lines.append(b"%b: %b" % (names.EXPECTED_INSTANCE, target_id.encode("latin-1")))
+        if customer_name is not None:
+            lines.append(b"%b: %b" % (names.CUSTOMER, customer_name.encode()))
         if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             lines.append(b"Content-Length: %d" % len(body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
@@ -98,6 +105,12 @@
     return "" if value is None else value.decode("latin-1")
 
 
+def _key_digest(headers: Headers) -> bytes | None:
+    """Return the digest of the request's key; several different keys are nobody's."""
+    keys = set(headers.getRawHeaders(names.API_KEY, []))
+    return key_digest(keys.pop()) if len(keys) == 1 else None
+
+
 def _patience(value: bytes | None) -> float:
     if value is None:
         return math.inf
--- a/briarspur/platform/gateway.py
+++ b/briarspur/platform/gateway.py
@@ -78,4 +78,3 @@
 def main() -> int:
     """Run the gateway with the settings file that the platform names."""
     return run_file("briarspur-gateway", GatewaySettings, build, os.environ[SETTINGS_VARIABLE])
-
--- a/briarspur/platform/names.py
+++ b/briarspur/platform/names.py
@@ -2,7 +2,9 @@
 
 __all__ = [
     "AFFINITY_KEY",
+    "API_KEY",
     "COLD_MS",
+    "CUSTOMER",
     "DEADLINE_MS",
     "EXPECTED_INSTANCE",
     "NOT_EXECUTED",
@@ -24,3 +26,7 @@
 """The backend server did not run the request."""
 COLD_MS = b"X-Cold-Ms"
 """Milliseconds for which a backend server stays cold."""
+API_KEY = b"X-Credential"
+"""The key of the customer who asks; it goes to no backend server."""
+CUSTOMER = b"X-Tenant-Id"
+"""The name of that customer, as a backend server gets it."""
