--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -123,6 +123,7 @@
             self._counts,
             lambda: self.following.significant(),
             lambda: self.following.store_age(),
+            self.steering.quotas.counts,
             self.steering.quotas.worth_telling,
         )
         self.following = Following(
@@ -314,11 +315,13 @@
         return [Address(text.rpartition(":")[0], _port(text)) for text in texts]
 
     def _counts(self) -> Counter[int]:
-        counts = self.steering.quotas.counts(self._reactor.seconds())
-        for number, target in self.steering.targets.by_number.items():
-            if target.in_flight:
-                counts[number] = target.in_flight
-        return counts
+        return Counter(
+            {
+                number: target.in_flight
+                for number, target in self.steering.targets.by_number.items()
+                if target.in_flight
+            }
+        )
 
     def _tick(self) -> None:
         self._reactor.callLater(TICK, self._tick)
--- a/briarspur/gateway/gossip.py
+++ b/briarspur/gateway/gossip.py
@@ -55,11 +55,13 @@
     Parameters
     ----------
     counts : callable
-        Returns this entry's requests in flight by target number.
+        Returns this entry's requests in flight by target number; told as soon as they change.
     revisions : callable
         Returns the latest significant revision by kind.
     store_age : callable
         Returns the seconds since the store confirmed this entry's knowledge.
+    uses : callable
+        Returns what customers used at this entry; told along with the requests in flight.
     worth_telling : callable
         Returns what the members of a group need to know of the sum of all entries.
     """
@@ -73,6 +75,7 @@
         counts: Callable[[], Counter[int]],
         revisions: Callable[[], Mapping[Kind, int]],
         store_age: Callable[[], float],
+        uses: Callable[[float], Counter[int]] = lambda now: Counter(),
         worth_telling: Callable[[Mapping[int, int]], Counter[int]] = Counter,
     ) -> None:
         self._me = me
@@ -82,6 +85,7 @@
         self._counts = counts
         self._revisions = revisions
         self._store_age = store_age
+        self._uses = uses
         self._worth_telling = worth_telling
         self.groups = GroupView(me)
         self._lead = Lead(self.groups)
@@ -89,7 +93,7 @@
         self._sequence = 0
         self._latest_by_sender: dict[str, tuple[int, int]] = {}
         self._sent: OrderedDict[int, Counter[int]] = OrderedDict()
-        self._last_counts: Counter[int] = Counter()
+        self._last_loads: Counter[int] = Counter()
         self._last_at = float("-inf")
         self._last_told_all_at = float("-inf")
         self._last_sum_at = float("-inf")
@@ -177,12 +181,14 @@
 
     def tick(self, now: float) -> None:
         """Send what is due."""
-        counts = self._counts()
+        loads = self._counts()
+        counts = loads + self._uses(now)
         self._lead.started(now)
         if self.groups.is_speaker and now - self._last_told_all_at >= QUIET_PERIOD:
             self.tell(now, counts)
-        elif counts != self._last_counts or now - self._last_at >= QUIET_PERIOD:
+        elif loads != self._last_loads or now - self._last_at >= QUIET_PERIOD:
             self._tell_counts(now, counts)
+        self._last_loads = loads
         leads = self._leads(now)
         if leads != self._led:
             self._led = leads
@@ -196,7 +202,7 @@
 
     def tell(self, now: float, counts: Counter[int] | None = None) -> None:
         """Send this entry's own news to its group at once."""
-        self._tell_counts(now, self._counts() if counts is None else counts)
+        self._tell_counts(now, self._counts() + self._uses(now) if counts is None else counts)
         if self.groups.is_speaker or (self.groups.is_grouped and self._fleet.leaving):
             self._last_told_all_at = now
             told = {record.entry_id for record in self.groups.own_speakers}
@@ -206,7 +212,7 @@
 
     def _tell_counts(self, now: float, counts: Counter[int]) -> None:
         """Tell the load to whoever adds it up: the speakers, or everybody in a small fleet."""
-        self._last_counts, self._last_at = counts, now
+        self._last_at = now
         warmed = self._loads.take_own_warmed()
         if self.groups.is_speaker:
             self._relay.warmed(warmed)
