Take a warm server at once where no other one can cost less

Each choice ranked three dozen servers, though most requests find their object warm at a server whose cost is below the least that a cold run anywhere can cost; the same server is chosen.

--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -8,7 +8,7 @@
 from briarspur.gateway.admission import COPY_PRESSURE, SPREAD_PRESSURE, may_queue, pressure
 from briarspur.gateway.configuration import Route
 from briarspur.gateway.preference import Distance, Preferences, Ranked, mean_objects
-from briarspur.gateway.target import Target
+from briarspur.gateway.target import FASTEST, Target
 from briarspur.gateway.warmcopies import CopyDebts
 from briarspur.gateway.worktime import RouteWork, WorkTimes
 
@@ -131,21 +131,48 @@
         if wish.key is None or len(targets) <= 1:
             return self._best(wish, [Ranked(target, 0.0) for target in targets], now)
         span = self._span(wish)
-        ranked = self._preferences.ranked(wish.pool, wish.key, targets, epoch, span)
-        used = pressure(targets)
-        is_warm = any(wish.key in target.warmth for target in targets)
-        spread = used <= SPREAD_PRESSURE or not is_warm
-        best = self._best(wish, ranked, now, spread)
+        warm = [target for target in targets if wish.key in target.warmth]
+        best = self._undoubtedly_warm(wish, warm, now)
         if best is None:
-            everywhere = [Ranked(target, 0.0) for target in targets]
-            return self._best(wish, everywhere, now, spread)
-        if not best.warm:
+            best = self._ranked_best(wish, targets, bool(warm), epoch, span, now)
+        if best is None or not best.warm:
             return best
         nearer = None
-        if used <= COPY_PRESSURE:
+        if pressure(targets) <= COPY_PRESSURE:
             nearer = self._warm_copy(best, wish, wish.key, targets, epoch, now)
         return nearer or self._newcomer(wish, wish.key, targets, epoch, span, now) or best
 
+    def _undoubtedly_warm(self, wish: Wish, warm: Sequence[Target], now: float) -> Choice | None:
+        """Return the best server where the object is warm, if no other one can cost less.
+
+        Most requests find one, and are spared the look at servers in the object's order.
+        """
+        if not warm or not wish.route.sticky:
+            return None
+        times = self._work.route(wish.route.name, wish.route.goal)
+        best, cost = self._cheapest(wish, [Ranked(target, 0.0) for target in warm], now)
+        least_cold = times.cold * FASTEST + COLD_COST * (times.cold - times.warm)
+        return best if cost <= least_cold else None
+
+    def _ranked_best(
+        self,
+        wish: Wish,
+        targets: Sequence[Target],
+        is_warm: bool,
+        epoch: int,
+        span: Distance,
+        now: float,
+    ) -> Choice | None:
+        """Return the best server by the object's order, or of all if none of these can be used."""
+        assert wish.key is not None
+        ranked = self._preferences.ranked(wish.pool, wish.key, targets, epoch, span)
+        spread = not is_warm or pressure(targets) <= SPREAD_PRESSURE
+        best = self._best(wish, ranked, now, spread)
+        if best is None:
+            everywhere = [Ranked(target, 0.0) for target in targets]
+            best = self._best(wish, everywhere, now, spread)
+        return best
+
     def _span(self, wish: Wish) -> Distance:
         """Return the distance within which it hardly matters which server works."""
         times = self._work.route(wish.route.name, wish.route.goal)
@@ -221,7 +248,13 @@
     def _best(
         self, wish: Wish, candidates: Sequence[Ranked], now: float, spread: bool = True
     ) -> Choice | None:
-        """Return the candidate of the least cost.
+        """Return the candidate of the least cost, None if none may take the request."""
+        return self._cheapest(wish, candidates, now, spread)[0]
+
+    def _cheapest(
+        self, wish: Wish, candidates: Sequence[Ranked], now: float, spread: bool = True
+    ) -> tuple[Choice | None, float]:
+        """Return the candidate of the least cost, and that cost in seconds.
 
         Parameters
         ----------
@@ -249,7 +282,7 @@
             if cost < least:
                 least = cost
                 best = choice
-        return best
+        return best, least
 
     def _expected(
         self, target: Target, times: RouteWork, warm: bool, mean: float, now: float
--- a/briarspur/gateway/target.py
+++ b/briarspur/gateway/target.py
@@ -7,7 +7,7 @@
 from briarspur.gateway.tokens import TokenBucket
 from briarspur.gateway.warmth import Warmth
 
-__all__ = ["Target", "target_number"]
+__all__ = ["FASTEST", "Target", "target_number"]
 
 SPEED_WEIGHT = 0.15
 """Share of a new sample in the mean speed."""
