--- a/briarspur/gateway/requestlog.py
+++ b/briarspur/gateway/requestlog.py
@@ -13,10 +13,9 @@
 
 __all__ = ["RequestLog"]
 
-ROUTINE_PER_S = 20.0
+ROUTINE_PER_S = 5.0
 """Requests answered as they should whose lines are written per second; beyond, whole requests are
-left out by their ids. On an overloaded machine a line took 15 to 28 us in three runs, 414 us in a
-fourth (best of 40 batches of 300) and 319 us in the mean of 5,000; its share is not settled."""
+left out by their ids."""
 FAILURES_PER_S = 200.0
 """Lines about refusals and failures per second; beyond, they are counted only."""
 BURST_S = 2.0
