Take back what was admitted and then refused for want of servers; counts of active customers only

A customer near its limit whose requests found no server used its quota up by refusals, and each tick of an entry's news counted all customers, idle ones included.

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from briarspur.answerhead import AnswerHead
-from briarspur.codes import Code
+from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.sending import IncomingRequest, Sending, Services
 from briarspur.gateway.work import Attempt, Refused, Work
@@ -212,6 +212,8 @@
                 sending.give_up(Outcome.ABANDONED)
 
     def _refuse(self, refused: Refused) -> None:
+        if CODES[refused.code].ran is Ran.NO:
+            self._services.steering.quotas.not_run(self.work.customer)
         self._caller.refuse(refused)
         status = self._services.dialect.status(refused.code)
         self._finish(refused.code, status, refused.detail)
--- a/briarspur/gateway/quota.py
+++ b/briarspur/gateway/quota.py
@@ -111,6 +111,11 @@
         self._admitted.append(now)
         return True
 
+    def not_run(self) -> None:
+        """Take back a request that was admitted."""
+        if self._admitted:
+            self._admitted.pop()
+
     def retry_after(self, quota: Quota, now: float) -> float:
         """Return the seconds after which a refused request would lie within the quota."""
         asked = self.asked(now) + self.asked_elsewhere
--- a/briarspur/gateway/quotas.py
+++ b/briarspur/gateway/quotas.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from zlib import crc32
 
 from briarspur.gateway.customers import Customer
@@ -32,6 +32,16 @@
     detail: str
 
 
+@dataclass(slots=True)
+class _Limited:
+    """A customer with a limit, its use, and the numbers under which entries tell of it."""
+
+    quota: Quota
+    admitted_number: int
+    asked_number: int
+    use: CustomerUse = field(default_factory=CustomerUse)
+
+
 class Quotas:
     """Admits the requests of customers within their quotas, which hold over all entries.
 
@@ -57,9 +67,9 @@
     def __init__(self, window: float, known: Callable[[int], int]) -> None:
         self.window = window
         self._known = known
-        self._uses_by_name: dict[str, CustomerUse] = {}
-        self._quotas_by_name: dict[str, Quota] = {}
-        self._names_by_number: dict[int, str] = {}
+        self._limited_by_name: dict[str, _Limited] = {}
+        self._limited_by_number: dict[int, _Limited] = {}
+        self._active_by_name: dict[str, _Limited] = {}
         self.started = float("-inf")
         self.refusals_by_name: Counter[str] = Counter()
         self.live = 1
@@ -68,25 +78,28 @@
 
     def configured(self, customers: Iterable[Customer]) -> None:
         """Take the customers of a configuration; uses of those that stay are kept."""
-        limited = {customer.name: customer for customer in customers if customer.per_s > 0.0}
-        uses = {name: self._uses_by_name.get(name) or self._new_use(name) for name in limited}
-        self._uses_by_name = uses
-        self._quotas_by_name = {
-            name: Quota(customer.per_s, customer.burst, self.window)
-            for name, customer in limited.items()
-        }
-        self._names_by_number = {
-            number: name
-            for name in limited
-            for number in (_admitted_number(name), _asked_number(name))
+        before, self._limited_by_name = self._limited_by_name, {}
+        for customer in customers:
+            if customer.per_s <= 0.0:
+                continue
+            quota = Quota(customer.per_s, customer.burst, self.window)
+            limited = before.get(customer.name) or self._new(customer.name, quota)
+            limited.quota = quota
+            self._limited_by_name[customer.name] = limited
+        self._limited_by_number = {
+            number: limited
+            for limited in self._limited_by_name.values()
+            for number in (limited.admitted_number, limited.asked_number)
         }
+        self._active_by_name = dict(self._limited_by_name)
 
     def refuse(self, customer: Customer | None, request_id: str, now: float) -> OverQuota | None:
         """Count a request; return None if it lies within the quota."""
-        use = None if customer is None else self._uses_by_name.get(customer.name)
-        if customer is None or use is None:
+        limited = None if customer is None else self._limited_by_name.get(customer.name)
+        if customer is None or limited is None:
             return None
-        quota = self._quotas_by_name[customer.name].part(self._part(now))
+        self._active_by_name[customer.name] = limited
+        use, quota = limited.use, limited.quota.part(self._part(now))
         if use.admit(quota, crc32(request_id.encode()) / DRAWS, now):
             return None
         self.refusals_by_name[customer.name] += 1
@@ -96,25 +109,33 @@
             f"{use.elsewhere} elsewhere in {self.window:g} s, limit {quota.limit:g}",
         )
 
+    def not_run(self, customer: Customer | None) -> None:
+        """Take back a request that was admitted and then refused by us."""
+        limited = None if customer is None else self._limited_by_name.get(customer.name)
+        if limited is not None:
+            limited.use.not_run()
+
     def counts(self, now: float) -> Counter[int]:
         """Return what this entry admitted and was asked for, by the numbers of customers."""
         counts: Counter[int] = Counter()
-        for name, use in self._uses_by_name.items():
-            admitted = use.admitted(now, self.window)
+        for name, limited in list(self._active_by_name.items()):
+            admitted = limited.use.admitted(now, self.window)
+            asked = limited.use.asked(now)
             if admitted:
-                counts[_admitted_number(name)] = admitted
-            asked = use.asked(now)
+                counts[limited.admitted_number] = admitted
             if asked:
-                counts[_asked_number(name)] = asked
+                counts[limited.asked_number] = asked
+            if not admitted and not asked:
+                del self._active_by_name[name]
         return counts
 
     def heard(self, number: int, change: int) -> None:
         """Take a change of what the others admitted or were asked for."""
-        name = self._names_by_number.get(number)
-        if name is None:
+        limited = self._limited_by_number.get(number)
+        if limited is None:
             return
-        use = self._uses_by_name[name]
-        if number == _admitted_number(name):
+        use = limited.use
+        if number == limited.admitted_number:
             use.elsewhere = max(0, use.elsewhere + change)
         else:
             use.asked_elsewhere = max(0, use.asked_elsewhere + change)
@@ -122,18 +143,19 @@
     def worth_telling(self, total: Mapping[int, int]) -> Counter[int]:
         """Return the counts of all entries without those of customers far below their limits."""
         told = Counter(total)
-        for name, quota in self._quotas_by_name.items():
-            admitted, asked = _admitted_number(name), _asked_number(name)
-            if forecast(total.get(admitted, 0), total.get(asked, 0)) < TELL_SHARE * quota.limit:
+        for limited in self._limited_by_name.values():
+            admitted, asked = limited.admitted_number, limited.asked_number
+            expected = forecast(total.get(admitted, 0), total.get(asked, 0))
+            if expected < TELL_SHARE * limited.quota.limit:
                 told.pop(admitted, None)
                 told.pop(asked, None)
         return told
 
-    def _new_use(self, name: str) -> CustomerUse:
-        use = CustomerUse()
-        use.elsewhere = self._known(_admitted_number(name))
-        use.asked_elsewhere = self._known(_asked_number(name))
-        return use
+    def _new(self, name: str, quota: Quota) -> "_Limited":
+        limited = _Limited(quota, _number("admitted", name), _number("asked", name))
+        limited.use.elsewhere = self._known(limited.admitted_number)
+        limited.use.asked_elsewhere = self._known(limited.asked_number)
+        return limited
 
     def _part(self, now: float) -> float:
         """Return the part of each limit that the entries which are heard may use."""
@@ -145,9 +167,5 @@
         return age / self.window
 
 
-def _admitted_number(name: str) -> int:
-    return crc32(f"admitted/{name}".encode())
-
-
-def _asked_number(name: str) -> int:
-    return crc32(f"asked/{name}".encode())
+def _number(what: str, name: str) -> int:
+    return crc32(f"{what}/{name}".encode())
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -186,6 +186,16 @@
         played.play(13.0, 25.0, 20.0)
         self.assertLessEqual(played.worst(), bound(played.customer))
 
+    def test_what_was_not_run_does_not_count(self) -> None:
+        """Guards against quotas that are used up by requests which no server could take."""
+        quotas = Quotas(WINDOW, lambda number: 0)
+        small = Customer("small", per_s=1.0, burst=0.0)
+        quotas.configured([small])
+        for number in range(100):
+            now = 10.0 + 0.3 * number
+            self.assertIsNone(quotas.refuse(small, f"r-{number}", now))
+            quotas.not_run(small)
+
     def test_a_customer_without_a_rate_has_no_limit(self) -> None:
         quotas = Quotas(WINDOW, lambda number: 0)
         free = Customer("free", burst=3.0)
