After a restart of all entries let customers use at once what their limits may be exceeded by

What a limit may be exceeded by covers a small customer's whole use. The test plays a customer of 3 requests/s: refused before, not one after; the bound after a restart of all still holds.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -96,6 +96,8 @@
                 configuration_s=settings.bounds.configuration_s,
                 revoke_s=settings.bounds.revoke_after_s,
                 quota_window=settings.bounds.quota_window_s,
+                quota_overage=settings.bounds.quota_overage,
+                quota_slack=settings.bounds.quota_slack,
             ),
         )
         self.steering.quotas.started = self._reactor.seconds()
--- a/briarspur/gateway/quotas.py
+++ b/briarspur/gateway/quotas.py
@@ -15,6 +15,9 @@
 below it no entry has to know."""
 FIRST_NEWS = 2.0
 """Seconds after its start in which an entry has yet to hear who lives."""
+SPARE_SHARE = 0.8
+"""Part of what a limit may be exceeded by that is used after all entries restarted; the rest is
+left for what is admitted while news are under way."""
 DRAWS = 1 << 32
 
 
@@ -48,6 +51,13 @@
     Use travels between entries as counts by number, like load; each customer has a number for what
     was admitted, and one for what was asked for.
 
+    Parameters
+    ----------
+    known : callable
+        Returns what the others' news say of a number.
+    overage, slack : float
+        By how much of a limit, and by how many requests, all entries may exceed it.
+
     Attributes
     ----------
     window : float
@@ -64,8 +74,16 @@
         times before this one's start.
     """
 
-    def __init__(self, window: float, known: Callable[[int], int]) -> None:
+    def __init__(
+        self,
+        window: float,
+        known: Callable[[int], int],
+        overage: float = 0.0,
+        slack: float = 0.0,
+    ) -> None:
         self.window = window
+        self._overage = overage
+        self._slack = slack
         self._known = known
         self._limited_by_name: dict[str, _Limited] = {}
         self._limited_by_number: dict[int, _Limited] = {}
@@ -99,7 +117,7 @@
         if customer is None or limited is None:
             return None
         self._active_by_name[customer.name] = limited
-        use, quota = limited.use, limited.quota.part(self._part(now))
+        use, quota = limited.use, limited.quota.part(self._part(limited.quota, now))
         if use.admit(quota, crc32(request_id.encode()) / DRAWS, now):
             return None
         self.refusals_by_name[customer.name] += 1
@@ -157,14 +175,15 @@
         limited.use.asked_elsewhere = self._known(limited.asked_number)
         return limited
 
-    def _part(self, now: float) -> float:
-        """Return the part of each limit that the entries which are heard may use."""
+    def _part(self, quota: Quota, now: float) -> float:
+        """Return the part of a limit that the entries which are heard may use."""
         age = now - self.started
         if self.elder_heard or age >= self.window:
             heard = self.live / max(self.live, self.recorded)
             return 1.0 if age < FIRST_NEWS else heard
-        # What the customers used before all entries started is unknown, and still counts.
-        return age / self.window
+        # What the customer used before all entries started is unknown, and still counts.
+        spare = SPARE_SHARE * (self._overage * quota.limit + self._slack)
+        return min(1.0, age / self.window + spare / quota.limit)
 
 
 def _number(what: str, name: str) -> int:
--- a/briarspur/gateway/settings.py
+++ b/briarspur/gateway/settings.py
@@ -43,6 +43,8 @@
     strict_revoke: bool = False
     revoke_ms: float = Field(default=5_000.0, gt=0.0)
     quota_window_s: float = Field(default=5.0, gt=0.0)
+    quota_overage: float = Field(default=0.0, ge=0.0)
+    quota_slack: float = Field(default=0.0, ge=0.0)
 
     @property
     def configuration_s(self) -> float:
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -59,7 +59,9 @@
         self.targets = TargetTable(zone_regions)
         self.loads = LoadView(self.targets.by_number)
         self.targets.on_new = self.loads.target_added
-        self.quotas = Quotas(bounds.quota_window, self.loads.known)
+        self.quotas = Quotas(
+            bounds.quota_window, self.loads.known, bounds.quota_overage, bounds.quota_slack
+        )
         self.loads.on_other = self.quotas.heard
         self.transit = TransitTimes(zone, region)
         self.times = WorkTimes()
--- a/briarspur/gateway/work.py
+++ b/briarspur/gateway/work.py
@@ -53,6 +53,8 @@
     configuration_s: float = 2.5
     revoke_s: float = math.inf
     quota_window: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -45,7 +45,7 @@
         self._next_news = 0.0
 
     def _quotas(self, started: float) -> Quotas:
-        made = Quotas(WINDOW, lambda number: 0)
+        made = Quotas(WINDOW, lambda number: 0, OVERAGE, SLACK)
         made.started = started
         made.configured([self.customer])
         made.live = made.recorded = self.entries
@@ -165,6 +165,14 @@
         played.play(16.5, 24.0, 150.0)
         self.assertLessEqual(played.worst(), bound(played.customer))
 
+    def test_small_customers_are_served_at_once_after_a_restart_of_all(self) -> None:
+        """Guards against refusals of all customers while their use before is unknown."""
+        played = fleet(89, 3.0)
+        played.play(0.0, 6.0, 3.0)
+        played.restart(7.0)
+        played.play(7.0, 12.0, 4.0)
+        self.assertEqual([], played.refused)
+
     def test_an_entry_that_restarts_among_others_admits_as_they_do(self) -> None:
         """Guards against refusals within the quota at an entry that has just started."""
         played = fleet(20, 20.0)
