--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -336,7 +336,8 @@
         self.following.tick()
         self.gossip.members_changed(now)
         quotas = self.steering.quotas
-        quotas.elder_heard = self.fleet.has_elder(quotas.window, now)
+        if now - quotas.started < quotas.window:
+            quotas.elder_heard = self.fleet.has_elder(quotas.window, now)
         quotas.live = self.fleet.heard_size(now)
         entry_ids = self.fleet.entry_ids(now)
         if entry_ids != self.entry_ids:
