--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -9,13 +9,13 @@
 
 from briarspur import logs
 from briarspur.coord.address import Address
-from briarspur.coord.errors import StoreError
 from briarspur.gateway.applier import ChangeApplier
 from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.codec import Codec
 from briarspur.gateway.configuration import Configuration
 from briarspur.gateway.dialect import Dialect
 from briarspur.gateway.entryrecord import EntryRecord
+from briarspur.gateway.entryrecords import EntryRecords
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.following import Following
@@ -32,7 +32,7 @@
 from briarspur.gateway.replica import FOLLOWED, Kind, Replica, StoredChange, Way
 from briarspur.gateway.requestlog import RequestLog
 from briarspur.gateway.sending import IncomingRequest, Services
-from briarspur.gateway.settings import GatewaySettings
+from briarspur.gateway.settings import BoundSettings, GatewaySettings
 from briarspur.gateway.steering import Steering
 from briarspur.gateway.sync import Sync
 from briarspur.gateway.warmthkeeper import WarmthKeeper
@@ -60,9 +60,6 @@
 LEAVE_MARGIN = 0.95
 """Seconds before the platform kills the process within which it has ended by itself. On 0.43 of a
 core under load the end of the interpreter alone took over half a second."""
-RECORD_RETRY = 0.5
-FORGET_PERIOD = 60.0
-"""Seconds between two looks for entries that are gone."""
 METRICS_PATH = b"/metrics"
 
 
@@ -89,16 +86,7 @@
             settings.zone,
             settings.region,
             settings.zone_regions,
-            Bounds(
-                retry_ratio=settings.bounds.retry_ratio,
-                retry_window=settings.bounds.retry_window_s,
-                retry_slack=settings.bounds.retry_slack,
-                configuration_s=settings.bounds.configuration_s,
-                revoke_s=settings.bounds.revoke_after_s,
-                quota_window=settings.bounds.quota_window_s,
-                quota_overage=settings.bounds.quota_overage,
-                quota_slack=settings.bounds.quota_slack,
-            ),
+            _bounds(settings.bounds),
         )
         self.steering.quotas.started = self._reactor.seconds()
         self.log = RequestLog(self._reactor.seconds, lambda: self.following.confirmed_age())
@@ -150,6 +138,15 @@
             lambda: self.entry_ids[:1] == [self.me.entry_id] and not self.leaving,
             self._rng,
         )
+        self._records = EntryRecords(
+            source,
+            codec,
+            self.fleet,
+            lambda: self.gossip.groups.is_reader,
+            self.syncs[Kind.ENTRIES].replica,
+            self._reactor.seconds,
+            self._rng,
+        )
         self._pull_server = PullServer(
             lambda kind: self.syncs[kind].replica, self.following.store_age
         )
@@ -178,8 +175,8 @@
         for sync in self.syncs.values():
             self._tasks.append(asyncio.ensure_future(sync.run()))
         self._tasks.append(asyncio.ensure_future(self._warmth.run()))
-        self._tasks.append(asyncio.ensure_future(self._record_self()))
-        self._tasks.append(asyncio.ensure_future(self._forget_entries()))
+        self._tasks.append(asyncio.ensure_future(self._records.write_own()))
+        self._tasks.append(asyncio.ensure_future(self._records.forget_gone()))
         if self.me.peer_port:
             await self._pull_server.start(self.settings.host, self.me.peer_port)
         self._reactor.callLater(self.gossip.period(), self._send_news)
@@ -268,36 +265,8 @@
             self._reactor.seconds,
         )
 
-    async def _record_self(self) -> None:
-        """Write where this entry is, so that others find it."""
-        value = self._codec.entry_value(self.me)
-        while True:
-            try:
-                await self._source.write(Kind.ENTRIES, self.me.entry_id, value)
-                return
-            except StoreError as error:
-                logs.event("record-not-written", error=str(error))
-                await asyncio.sleep(RECORD_RETRY * self._rng.uniform(0.7, 1.3))
-
     # Other entries
 
-    async def _forget_entries(self) -> None:
-        """Delete the records of entries that are gone, if this entry follows the store."""
-        while True:
-            await asyncio.sleep(FORGET_PERIOD * self._rng.uniform(0.7, 1.3))
-            if not self.gossip.groups.is_reader:
-                continue
-            replica = self.syncs[Kind.ENTRIES].replica
-            for entry_id in self.fleet.forgotten(self._reactor.seconds()):
-                stored = replica.get(entry_id)
-                if stored is None:
-                    continue
-                try:
-                    await self._source.delete(Kind.ENTRIES, entry_id, stored.revision)
-                    logs.event("entry-forgotten", entry=entry_id)
-                except StoreError as error:
-                    logs.event("record-not-deleted", entry=entry_id, error=str(error))
-
     def _heard(self, news: News) -> None:
         if self.gossip.received(news, self._reactor.seconds()):
             self.following.heard(news)
@@ -399,3 +368,16 @@
 
 def _port(address: str) -> int:
     return int(address.rpartition(":")[2]) if address else 0
+
+
+def _bounds(settings: BoundSettings) -> Bounds:
+    return Bounds(
+        retry_ratio=settings.retry_ratio,
+        retry_window=settings.retry_window_s,
+        retry_slack=settings.retry_slack,
+        configuration_s=settings.configuration_s,
+        revoke_s=settings.revoke_after_s,
+        quota_window=settings.quota_window_s,
+        quota_overage=settings.quota_overage,
+        quota_slack=settings.quota_slack,
+    )
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -35,6 +35,27 @@
         self.assertEqual(["me", "other"], self.named(now=SILENT - 0.1))
         self.assertEqual(["me"], self.named(now=SILENT + 0.1))
 
+    def test_those_that_leave_or_fall_silent_count_as_heard_for_a_while(self) -> None:
+        """Guards against limits that shrink while entries which are leaving still serve."""
+        self.fleet.recorded(record("other"))
+        self.fleet.recorded(record("third"))
+        self.assertEqual(1, self.fleet.heard_size(0.0))
+        self.fleet.heard(alive("other", leaving=True), 0.0)
+        self.assertEqual(2, self.fleet.heard_size(SILENT - 0.1))
+        self.assertEqual(1, self.fleet.heard_size(SILENT + 0.1))
+
+    def test_an_elder_is_one_that_is_heard_and_started_long_before(self) -> None:
+        """Guards against entries that restart together and take one another for older ones."""
+        fleet = Fleet(record("me", started=20_000))
+        fleet.recorded(record("twin", started=19_500))
+        fleet.heard(alive("twin", started=19_500), 0.0)
+        self.assertFalse(fleet.has_elder(5.0, 0.0))
+        fleet.recorded(record("elder", started=1_000))
+        self.assertFalse(fleet.has_elder(5.0, 0.0))
+        fleet.heard(alive("elder", started=1_000), 0.0)
+        self.assertTrue(fleet.has_elder(5.0, 0.0))
+        self.assertFalse(fleet.has_elder(5.0, SILENT + 0.1))
+
     def test_an_entry_that_started_anew_is_named_by_what_others_heard(self) -> None:
         """Guards against entries that restart and are unknown to all zones but their own."""
         old, new = record("other"), record("other", started=2)
