--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -165,6 +165,15 @@
         played.play(16.5, 24.0, 150.0)
         self.assertLessEqual(played.worst(), bound(played.customer))
 
+    def test_a_sudden_load_just_before_a_restart_of_all_still_counts(self) -> None:
+        """Guards against a whole limit before a loss of all power and another part after it."""
+        played = fleet(89, 20.0)
+        played.play(0.0, 6.0, 20.0)
+        played.play(6.0, 7.5, 150.0)
+        played.restart(8.0)
+        played.play(8.0, 20.0, 150.0)
+        self.assertLessEqual(played.worst(), bound(played.customer))
+
     def test_small_customers_are_served_at_once_after_a_restart_of_all(self) -> None:
         """Guards against refusals of all customers while their use before is unknown."""
         played = fleet(89, 3.0)
