Read the limit that a backend server names in its answers; log and count what is believed

Logs could not tell whether an entry hears a limit at all, obeys it alone, or obeys it with first attempts only. Now the head of every answer is read for what it says of its server, whatever becomes of the attempt; a change of what is believed is one line with its source and age, and a metric counts limited servers. No decision uses it yet.

--- a/briarspur/gateway/dialect.py
+++ b/briarspur/gateway/dialect.py
@@ -7,6 +7,7 @@
 from briarspur.answerhead import AnswerHead
 from briarspur.codes import Code
 from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.servernotice import ServerNotice
 from briarspur.gateway.work import Arrival
 
 __all__ = ["Dialect"]
@@ -46,6 +47,9 @@
     def outcome(self, head: AnswerHead) -> Outcome:
         """Return what the head of a backend server's answer says."""
 
+    def notice(self, head: AnswerHead) -> ServerNotice | None:
+        """Return what an answer says of its server; None if it may be another server's."""
+
     def answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an answer that its caller gets."""
 
--- a/briarspur/gateway/exposition.py
+++ b/briarspur/gateway/exposition.py
@@ -17,6 +17,7 @@
     "target_connections_total": "counter: connections made to backend servers",
     "targets": "gauge by service: backend servers that take new work",
     "targets_suspected": "gauge by service: those whose last attempt failed",
+    "targets_limited": "gauge by service: those that name a limit of requests a second",
     "in_flight": "gauge by service: requests at backend servers, of all entries",
     "entries_live": "gauge: live entries, this one included",
     "configuration_version": "gauge: version of the configuration in force",
--- a/briarspur/gateway/sending.py
+++ b/briarspur/gateway/sending.py
@@ -187,8 +187,12 @@
     # Answer
 
     def answer_began(self, head: AnswerHead) -> None:
-        """Take the head."""
+        """Take the head, and what the server says of itself: its body may take long."""
         self.head = head
+        services = self._services
+        notice = services.dialect.notice(head)
+        if notice is not None:
+            services.steering.noticed(self.attempt.target, notice, services.clock.seconds())
         if self._is_passed_on(head):
             self._owner.sending_began(self, head)
 
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -15,6 +15,8 @@
 from briarspur.gateway.outcome import NOT_RUN, UNSENT, Outcome
 from briarspur.gateway.quotas import Quotas
 from briarspur.gateway.retrybudget import RetryBudget
+from briarspur.gateway.serverlimits import ServerLimits
+from briarspur.gateway.servernotice import ServerNotice
 from briarspur.gateway.target import Target
 from briarspur.gateway.targettable import TargetTable
 from briarspur.gateway.transit import TransitTimes
@@ -63,6 +65,7 @@
             bounds.quota_window, self.loads.known, bounds.quota_overage, bounds.quota_slack
         )
         self.loads.on_other = self.quotas.heard
+        self.limits = ServerLimits()
         self.transit = TransitTimes(zone, region)
         self.times = WorkTimes()
         self.entries: list[str] = [me]
@@ -172,6 +175,11 @@
         attempt = self.next_attempt(work, now)
         return attempt if isinstance(attempt, Attempt) else None
 
+    def noticed(self, target: Target, notice: ServerNotice, now: float) -> None:
+        """Take what a server says of itself in an answer."""
+        if notice.limit_per_s is not None:
+            self.limits.answered(target, notice.limit_per_s, now)
+
     def overdue(self, attempt: Attempt, now: float) -> None:
         """Note that an attempt takes far longer than expected."""
         ratio = (now - attempt.started) / max(attempt.expected, SHORTEST_TRY)
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -56,6 +56,10 @@
     "entry-forgotten": "the record of an entry that has been silent for minutes was deleted",
     "record-not-deleted": "such a record could not be deleted; it is tried again",
     "target-registered": "a backend server, or a new incarnation of one, may be used",
+    "target-limit": (
+        "what a backend server is believed to take changed: requests a second from all entries,"
+        " who says so and how long ago"
+    ),
     "target-departed": (
         "a backend server in use leaves or is gone: how that was learnt, how long ago at most"
     ),
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -8,9 +8,11 @@
 from briarspur.codes import CODES, Code
 from briarspur.gateway.customers import key_digest
 from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.servernotice import ServerNotice
 from briarspur.gateway.work import Arrival
 from briarspur.headers import HOP_BY_HOP, connection_tokens, last_value
 from briarspur.platform import names
+from briarspur.platform.notices import read_notice
 
 __all__ = ["PlatformDialect"]
 
@@ -86,6 +88,10 @@
             return Outcome.ANSWERED if whole and not encoded else Outcome.INVALID
         return Outcome.SERVER_ERROR if head.status in SERVER_ERRORS else Outcome.ANSWERED
 
+    def notice(self, head: AnswerHead) -> ServerNotice | None:
+        """Return what an answer says of its server; None if it may be another server's."""
+        return read_notice(head.headers, self.outcome(head))
+
     def answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an answer that its caller gets."""
         dropped = ONE_CONNECTION_ONLY | connection_tokens(headers) | {b"content-length"}
--- a/briarspur/platform/names.py
+++ b/briarspur/platform/names.py
@@ -10,6 +10,7 @@
     "NOT_EXECUTED",
     "REQUEST_ID",
     "RESPONSE_SIGNATURE",
+    "SERVER_LIMIT",
 ]
 
 REQUEST_ID = b"X-Request-Id"
@@ -30,3 +31,5 @@
 """The key of the customer who asks; it goes to no backend server."""
 CUSTOMER = b"X-Tenant-Id"
 """The name of that customer, as a backend server gets it."""
+SERVER_LIMIT = b"Server-Limit"
+"""Requests per second that a backend server takes from all entries together."""
