--- /dev/null
+++ b/tests/gateway/limitfleet.py
@@ -0,0 +1,231 @@
+"""Entries before backend servers that name limits, in virtual time and without a network.
+
+Each entry is a real decision core with real gossip. Messages between entries take some time and may
+be lost; every answer names the server's limit of that moment.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from briarspur.gateway.entryrecord import EntryRecord
+from briarspur.gateway.fleet import Fleet
+from briarspur.gateway.gossip import Gossip
+from briarspur.gateway.loadview import News
+from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.servernotice import NO_LIMIT, ServerNotice
+from briarspur.gateway.steering import Steering
+from briarspur.gateway.work import Arrival, Attempt, Bounds, Work
+from tests.gateway.samples import configuration, registration, route
+
+__all__ = ["LimitFleet", "LimitedServer"]
+
+WINDOW, FACTOR, SLACK = 4.0, 1.5, 5.0
+"""Seconds of a window, and by how much its requests may exceed a limit: a factor, and requests."""
+CALM = 4.0
+"""Seconds after a server first named a limit from which the limit must hold."""
+TOLD = 0.5
+"""Seconds after an answer that names a limit from which its entry must obey."""
+TICK = 0.25
+WORK = 0.2
+PATIENCE = 4.0
+REGIONS = 3
+WAYS = (0.001, 0.035)
+"""Seconds one way within a region and between two."""
+LATEST_NEWS = 0.1
+
+
+@dataclass(slots=True)
+class LimitedServer:
+    """A server, what it takes from when on, and which requests came from which entry."""
+
+    name: str
+    region: str
+    steps: list[tuple[float, float]] = field(default_factory=list)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    told_at: dict[str, float] = field(default_factory=dict)
+
+    def limit(self, now: float) -> float:
+        """Return the requests per second that it takes."""
+        return next((per_s for at, per_s in reversed(self.steps) if at <= now), NO_LIMIT)
+
+    def allowed(self, begin: float) -> float:
+        """Return the requests that may come in the window that begins at some time."""
+        steps = 40
+        each = WINDOW / steps
+        taken = sum(self.limit(begin + (step + 0.5) * each) * each for step in range(steps))
+        return FACTOR * taken + SLACK
+
+    def excess(self) -> float:
+        """Return by how many requests the worst window exceeds what was allowed in it."""
+        if not self.steps:
+            return -math.inf
+        counted = [
+            at for at, entry in self.arrivals if at >= self.told_at.get(entry, math.inf) + TOLD
+        ]
+        worst = -math.inf
+        for last, at in enumerate(counted):
+            if at < self.steps[0][0] + CALM:
+                continue
+            first = bisect_left(counted, at - WINDOW)
+            worst = max(worst, last - first + 1 - self.allowed(at - WINDOW))
+        return worst
+
+    def rate(self, begin: float, end: float) -> float:
+        """Return the requests per second that came in a span."""
+        return sum(begin <= at < end for at, _ in self.arrivals) / (end - begin)
+
+
+class _Entry:
+    def __init__(self, fleet: "LimitFleet", number: int, zones: int) -> None:
+        zone = f"z-{number % zones}"
+        region = f"r-{number % zones % REGIONS}"
+        name = f"e-{number}"
+        self.record = EntryRecord(name, 1, name, zone, region, 80, 81, 82)
+        self.fleet = Fleet(self.record)
+        self.steering = Steering(name, zone, region, fleet.regions_by_zone, Bounds())
+        self.gossip = Gossip(
+            self.record,
+            self.fleet,
+            self.steering.loads,
+            fleet,
+            self.counts,
+            dict,
+            lambda: 0.0,
+        )
+
+    def counts(self) -> Counter[int]:
+        """Return the requests in flight."""
+        targets = self.steering.targets.by_number
+        return Counter({n: t.in_flight for n, t in targets.items() if t.in_flight})
+
+
+class LimitFleet:
+    """Entries in some zones, and servers of one service.
+
+    Parameters
+    ----------
+    loss : float
+        Share of the messages between entries that are lost.
+    """
+
+    def __init__(
+        self, entries: int, servers: int, zones: int = 6, seed: int = 1, loss: float = 0.0
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._loss = loss
+        self.regions_by_zone = {f"z-{n}": f"r-{n % REGIONS}" for n in range(zones)}
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._numbers = itertools.count()
+        self._now = 0.0
+        self.cut: set[str] = set()
+        self.asked = self.refused = 0
+        self.servers = [
+            LimitedServer(f"t-{n}", self.regions_by_zone[f"z-{n % zones}"]) for n in range(servers)
+        ]
+        self._by_name = {server.name: server for server in self.servers}
+        self.entries_by_name: dict[str, _Entry] = {}
+        for number in range(entries):
+            made = _Entry(self, number, zones)
+            self.entries_by_name[made.record.entry_id] = made
+        for made in self.entries_by_name.values():
+            self._begin(made, zones)
+
+    def _begin(self, entry: _Entry, zones: int) -> None:
+        for other in self.entries_by_name.values():
+            entry.fleet.recorded(other.record)
+        entry.steering.fleet_recorded(entry.fleet.size)
+        served = replace(route(timeout=PATIENCE), goal=1.0)
+        entry.steering.configuration_accepted(configuration(1, [served]))
+        for number, server in enumerate(self.servers):
+            made = registration(server.name, zone=f"z-{number % zones}", slots=3)
+            entry.steering.targets.registered(made, 0.0)
+        self._at(self._rng.uniform(0.0, TICK), lambda now: self._tick(entry, now))
+        self._at(self._rng.uniform(0.0, TICK), lambda now: self._tell(entry, now))
+
+    def name_limits(self, at: float, limits: list[float]) -> None:
+        """Let the first servers name limits from some time on."""
+        for server, per_s in zip(self.servers, limits, strict=False):
+            server.steps.append((at, per_s))
+
+    def play(self, begin: float, end: float, per_s: float, objects: int = 60) -> None:
+        """Let requests come at a rate, over all entries alike."""
+        names = list(self.entries_by_name)
+        now = begin
+        while True:
+            now += self._rng.expovariate(per_s)
+            self._settle(min(now, end))
+            if now >= end:
+                return
+            key = b"%d" % self._rng.randrange(objects)
+            self._arrive(self._rng.choice(names), key, now)
+
+    def send(self, news: News, addresses: list[tuple[str, int]]) -> None:
+        """Carry news, as :class:`GossipSender`."""
+        if news.entry_id in self.cut:
+            return
+        for host, _ in addresses:
+            if host not in self.cut and self._rng.random() >= self._loss:
+                delay = self._rng.uniform(WAYS[0], LATEST_NEWS)
+                self._at(self._now + delay, self._delivery(host, news))
+
+    def _delivery(self, host: str, news: News) -> Callable[[float], None]:
+        return lambda now: self._hear(host, news, now)
+
+    def _hear(self, host: str, news: News, now: float) -> None:
+        self.entries_by_name[host].gossip.received(news, now)
+
+    def _tick(self, entry: _Entry, now: float) -> None:
+        entry.gossip.members_changed(now)
+        entry.steering.loads.expire(now)
+        entry.steering.entries_changed(entry.fleet.entry_ids(now))
+        self._at(now + TICK, lambda at: self._tick(entry, at))
+
+    def _tell(self, entry: _Entry, now: float) -> None:
+        entry.gossip.tick(now)
+        self._at(now + entry.gossip.period(), lambda at: self._tell(entry, at))
+
+    def _arrive(self, name: str, key: bytes, now: float) -> None:
+        self.asked += 1
+        entry = self.entries_by_name[name]
+        steering = entry.steering
+        arrival = Arrival(f"q-{self.asked}", "quay.example", "/times/x", key, PATIENCE)
+        work = steering.begin(arrival, now)
+        assert isinstance(work, Work)
+        step = steering.next_attempt(work, now)
+        if not isinstance(step, Attempt):
+            self.refused += 1
+            return
+        server = self._by_name[step.target.registration.target_id]
+        way = WAYS[0] if server.region == entry.record.region else WAYS[1]
+        self._at(now + way, lambda at: self._reach(name, server, step, way, at))
+
+    def _reach(
+        self, name: str, server: LimitedServer, attempt: Attempt, way: float, now: float
+    ) -> None:
+        server.arrivals.append((now, name))
+        work = WORK * self._rng.uniform(0.5, 1.5)
+        self._at(now + work + way, lambda at: self._answer(name, server, attempt, at))
+
+    def _answer(self, name: str, server: LimitedServer, attempt: Attempt, now: float) -> None:
+        steering = self.entries_by_name[name].steering
+        per_s = server.limit(now)
+        if per_s < NO_LIMIT:
+            server.told_at.setdefault(name, now)
+        steering.noticed(attempt.target, ServerNotice(limit_per_s=per_s), now)
+        steering.ended(attempt, Outcome.ANSWERED, now)
+
+    def _at(self, moment: float, event: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (moment, next(self._numbers), event))
+
+    def _settle(self, now: float) -> None:
+        while self._events and self._events[0][0] <= now:
+            moment, _, event = heapq.heappop(self._events)
+            self._now = moment
+            event(moment)
+        self._now = now
--- a/tools/check.py
+++ b/tools/check.py
@@ -1,7 +1,8 @@
 """Run the formatter, the linter, the type checker and the tests, and print one closing line.
 
 Tests named in KNOWN-RED.txt are run and printed, and their failures are not counted; each line of
-that file is ``test id | command and seed | what was seen | issue``.
+that file is ``test id | command and seed | what was seen | issue``. A finding that has no test yet
+stands there too, as ``hunted day``; no failure is passed over for it.
 """
 
 import subprocess
@@ -16,6 +17,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
+"""Tests whose failures may be passed over at a time."""
+WITHOUT_TEST = "hunted day"
 FAILED = ("failed", "error")
 STATIC_CHECKS = (
     ("black", ["black", "--check", "--quiet", "."]),
@@ -51,8 +54,9 @@
     if not KNOWN_RED.exists():
         return []
     lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
-    if len(lines) > MAX_KNOWN_RED:
-        raise SystemExit(f"KNOWN-RED.txt has {len(lines)} lines, at most {MAX_KNOWN_RED} may stand")
+    tests = sum(not line.startswith(WITHOUT_TEST) for line in lines)
+    if tests > MAX_KNOWN_RED:
+        raise SystemExit(f"KNOWN-RED.txt names {tests} tests, at most {MAX_KNOWN_RED} may stand")
     return lines
 
 
