Keep to the limits that backend servers name, over all entries together

What callers saw: nothing yet; servers in need got as many requests as before they named a limit (20 in 4 s of 16 allowed, 22 of 13), and such a server fails next.

Cause: a server's own word was dropped at the connection. Its answers' heads were read for the caller only; all that an entry believed of a server came from the store, from other entries and from its own attempts.

Now a limit counts from the head of the answer on, and is told to the other entries with its age, so that those obey that have heard no answer themselves, and learn that it ended. What was sent to a limited server is told as counts by number, like load; all admit by the sum, as for customers' quotas. A request that finds no room goes to the next best server; one that finds none anywhere is refused at once, and the refusal names how many servers are limited.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -114,8 +114,9 @@
             self._counts,
             lambda: self.following.significant(),
             lambda: self.following.store_age(),
-            self.steering.quotas.counts,
+            self.steering.uses,
             self.steering.quotas.worth_telling,
+            self.steering.limits,
         )
         self.following = Following(
             self.gossip,
@@ -307,7 +308,8 @@
         quotas = self.steering.quotas
         if now - quotas.started < quotas.window:
             quotas.elder_heard = self.fleet.has_elder(quotas.window, now)
-        quotas.live = self.fleet.heard_size(now)
+        self.steering.fleet_heard(self.fleet.heard_size(now))
+        self.steering.limits.forget(now)
         entry_ids = self.fleet.entry_ids(now)
         if entry_ids != self.entry_ids:
             joined, lost = set(entry_ids) - set(self.entry_ids), set(self.entry_ids) - set(
--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -74,6 +74,8 @@
         Bytes of its body, which travel to the server as those of the answer travel back.
     regions : frozenset of str
         Where it may run; empty if anywhere.
+    full : collection of Target
+        Servers that take no more now, so that an object which is warm there needs another one.
     """
 
     route: Route
@@ -82,6 +84,7 @@
     tried: Collection[Target] = ()
     size: int = 0
     regions: frozenset[str] = frozenset()
+    full: Collection[Target] = ()
 
     @property
     def pool(self) -> str:
@@ -131,7 +134,9 @@
         if wish.key is None or len(targets) <= 1:
             return self._best(wish, [Ranked(target, 0.0) for target in targets], now)
         span = self._span(wish)
-        warm = [target for target in targets if wish.key in target.warmth]
+        warm = [
+            target for target in targets if wish.key in target.warmth and target not in wish.full
+        ]
         best = self._undoubtedly_warm(wish, warm, now)
         if best is None:
             best = self._ranked_best(wish, targets, bool(warm), epoch, span, now)
@@ -268,7 +273,7 @@
         least = math.inf
         for candidate in candidates:
             target = candidate.target
-            if target in wish.tried or not self._usable(target, now):
+            if target in wish.tried or target in wish.full or not self._usable(target, now):
                 continue
             warm = not route.sticky or (wish.key is not None and wish.key in target.warmth)
             if not warm and not spread and target.load > 0:
--- a/briarspur/gateway/gossip.py
+++ b/briarspur/gateway/gossip.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from briarspur import logs
@@ -13,6 +13,7 @@
 from briarspur.gateway.loadview import ALL_OTHERS, LoadView, MemberSeen, News, SeenEntries
 from briarspur.gateway.relay import Relay, split_counts
 from briarspur.gateway.replica import Kind
+from briarspur.gateway.servernotice import ToldLimit
 
 __all__ = ["Gossip", "GossipSender"]
 
@@ -49,6 +50,16 @@
         """Send it; it may be lost."""
 
 
+class LimitNews(Protocol):
+    """Keeps what backend servers say they take."""
+
+    def told(self, told: Iterable[ToldLimit], now: float) -> None:
+        """Take what another entry says."""
+
+    def to_tell(self, relays: bool, now: float) -> tuple[ToldLimit, ...]:
+        """Return what the others are to be told; what others told, too, if this entry relays."""
+
+
 class Gossip:
     """Keeps the load view and the fleet by news, and gives this entry's out.
 
@@ -64,6 +75,8 @@
         Returns what customers used at this entry; told along with the requests in flight.
     worth_telling : callable
         Returns what the members of a group need to know of the sum of all entries.
+    limits : LimitNews, optional
+        Keeps what backend servers say they take.
     """
 
     def __init__(
@@ -77,6 +90,7 @@
         store_age: Callable[[], float],
         uses: Callable[[float], Counter[int]] = lambda now: Counter(),
         worth_telling: Callable[[Mapping[int, int]], Counter[int]] = Counter,
+        limits: LimitNews | None = None,
     ) -> None:
         self._me = me
         self._fleet = fleet
@@ -87,6 +101,7 @@
         self._store_age = store_age
         self._uses = uses
         self._worth_telling = worth_telling
+        self._limits = limits
         self.groups = GroupView(me)
         self._lead = Lead(self.groups)
         self._relay = Relay()
@@ -124,6 +139,9 @@
         """Take a message; return whether it is the sender's latest of its kind."""
         if news.entry_id == self._me.entry_id:
             return False
+        if self._limits is not None:
+            # Each limit has an age of its own, so those of late news count as well.
+            self._limits.told(news.limits, now)
         if not news.group:
             taken = self._own_news_received(news, now)
         elif news.group == ALL_OTHERS:
@@ -207,7 +225,8 @@
             self._last_told_all_at = now
             told = {record.entry_id for record in self.groups.own_speakers}
             self._send(
-                self._news(Counter()), [r for r in self.groups.members if r.entry_id not in told]
+                self._news(now, Counter()),
+                [r for r in self.groups.members if r.entry_id not in told],
             )
 
     def _tell_counts(self, now: float, counts: Counter[int]) -> None:
@@ -216,7 +235,7 @@
         warmed = self._loads.take_own_warmed()
         if self.groups.is_speaker:
             self._relay.warmed(warmed)
-        news = self._news(counts, warmed)
+        news = self._news(now, counts, warmed)
         self._sent[news.sequence] = counts
         if len(self._sent) > SENT_KEPT:
             self._sent.popitem(last=False)
@@ -240,16 +259,22 @@
         if now - self._last_told_both_at >= BOTH_PERIOD:
             self._last_told_both_at = now
             receivers = self.groups.speakers
-        self._send_parts(group_sum, zone, self._relay.take_warmed_here, inside, receivers)
+        self._send_parts(now, group_sum, zone, self._relay.take_warmed_here, inside, receivers)
         total = self._worth_telling(self._relay.total(group_sum))
         everywhere = self._fleet.seen(now, lambda record: True)
         self._send_parts(
-            total, ALL_OTHERS, self._relay.take_warmed_anywhere, everywhere, self.groups.members
+            now,
+            total,
+            ALL_OTHERS,
+            self._relay.take_warmed_anywhere,
+            everywhere,
+            self.groups.members,
         )
-        self._loads.received(self._news(total, group=ALL_OTHERS), now, counts)
+        self._loads.received(self._news(now, total, group=ALL_OTHERS), now, counts)
 
     def _send_parts(
         self,
+        now: float,
         counts: Counter[int],
         group: str,
         take_warmed: Callable[[], tuple[tuple[int, int], ...]],
@@ -262,12 +287,13 @@
         included = self._relay.included() if group == ALL_OTHERS else {}
         for part, some in enumerate(split_counts(counts, parts)):
             news = self._news(
-                some, take_warmed(), group, part, parts, included, seen.part(part, parts)
+                now, some, take_warmed(), group, part, parts, included, seen.part(part, parts)
             )
             self._send(news, receivers)
 
     def _news(
         self,
+        now: float,
         counts: Mapping[int, int],
         warmed: tuple[tuple[int, int], ...] = (),
         group: str = "",
@@ -291,7 +317,14 @@
             parts=parts,
             included=included or {},
             seen=seen,
+            limits=self._limits_to_tell(now, part),
         )
 
+    def _limits_to_tell(self, now: float, part: int) -> tuple[ToldLimit, ...]:
+        """Return what servers said; the first part of a sum has it, and speakers pass it on."""
+        if self._limits is None or part > 0:
+            return ()
+        return self._limits.to_tell(self.groups.is_speaker, now)
+
     def _send(self, news: News, entries: list[EntryRecord]) -> None:
         self._sender.send(news, [(entry.host, entry.news_port) for entry in entries])
--- a/briarspur/gateway/loadview.py
+++ b/briarspur/gateway/loadview.py
@@ -1,9 +1,10 @@
 """The load of backend servers over all entries, kept by news that entries send one another."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from briarspur.gateway.replica import Kind
+from briarspur.gateway.servernotice import ToldLimit
 from briarspur.gateway.target import Target
 
 __all__ = [
@@ -82,6 +83,8 @@
         Seconds since the store confirmed them.
     seen : SeenEntries
         Entries that were heard lately.
+    limits : tuple of ToldLimit
+        What backend servers said lately that they take.
     """
 
     entry_id: str
@@ -97,6 +100,15 @@
     parts: int = 1
     included: Mapping[int, int] = field(default_factory=dict)
     seen: SeenEntries = SeenEntries()
+    limits: tuple[ToldLimit, ...] = ()
+
+    def delayed(self, seconds: float) -> "News":
+        """Return the same news as they are after some time on the way."""
+        return replace(
+            self,
+            store_age=self.store_age + seconds,
+            limits=tuple(replace(limit, age=limit.age + seconds) for limit in self.limits),
+        )
 
     def is_later_than(self, source: "Source") -> bool:
         """Return whether this replaces what a source said; another sender's always does."""
--- a/briarspur/gateway/news.py
+++ b/briarspur/gateway/news.py
@@ -1,8 +1,7 @@
 """Sends and receives load news, one datagram each."""
 
 import logging
-from collections.abc import Callable
-from dataclasses import replace
+from collections.abc import Callable, Iterable
 from typing import Any, cast
 
 from google.protobuf.message import DecodeError
@@ -13,6 +12,7 @@
 from briarspur.gateway.loadview import News, SeenEntries
 from briarspur.gateway.newsdelay import NewsDelays, sending_clock
 from briarspur.gateway.replica import FOLLOWED, Kind
+from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
 
 __all__ = ["NewsPort", "news_from_wire", "news_to_wire"]
 
@@ -23,6 +23,9 @@
 AGE_STEP = 0.02
 MOST_AGE_STEPS = 255
 """Seconds in a step of the ages that take one byte each, and the most steps: 5.1 s."""
+MILLI = 1_000
+LIFTED = 0
+"""Limits of servers in thousandths of a request per second, and what stands for none."""
 
 
 class NewsPort(DatagramProtocol):
@@ -65,7 +68,7 @@
         delay = 0.0
         if sent_at > 0.0:
             delay = self.delays.delay(news.entry_id, news.started, sent_at, self._clock())
-        self._on_news(replace(news, store_age=news.store_age + delay))
+        self._on_news(news.delayed(delay))
 
 
 def news_to_wire(news: News, sent_at: float) -> bytes:
@@ -84,12 +87,15 @@
         group=news.group,
         sent_ms=round(sent_at * MS),
         seen=news.seen.numbers,
-        seen_ages=bytes(min(MOST_AGE_STEPS, round(age / AGE_STEP)) for age in news.seen.ages),
+        seen_ages=_ages_to_wire(news.seen.ages),
         leaving_seen=sorted(news.seen.leaving.intersection(news.seen.numbers)),
         part=news.part,
         parts=news.parts,
         included=list(news.included.keys()),
         included_sequences=list(news.included.values()),
+        limited=[limit.number for limit in news.limits],
+        limits_milli=[_limit_to_wire(limit.per_s) for limit in news.limits],
+        limit_ages=_ages_to_wire(limit.age for limit in news.limits),
     )
     return message.SerializeToString()
 
@@ -112,6 +118,7 @@
         raise ValueError(f"part {message.part} of {parts}")
     if len(message.seen) != len(message.seen_ages):
         raise ValueError(f"{len(message.seen)} entries seen, {len(message.seen_ages)} ages")
+    limits = zip(message.limited, message.limits_milli, message.limit_ages, strict=True)
     news = News(
         entry_id=message.entry_id,
         started=message.started,
@@ -130,5 +137,21 @@
             tuple(age * AGE_STEP for age in message.seen_ages),
             frozenset(message.leaving_seen),
         ),
+        limits=tuple(
+            ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP)
+            for number, milli, age in limits
+        ),
     )
     return news, message.sent_ms / MS
+
+
+def _ages_to_wire(ages: Iterable[float]) -> bytes:
+    return bytes(min(MOST_AGE_STEPS, round(age / AGE_STEP)) for age in ages)
+
+
+def _limit_to_wire(per_s: float) -> int:
+    return LIFTED if per_s == NO_LIMIT else max(LIFTED + 1, round(per_s * MILLI))
+
+
+def _limit_from_wire(milli: int) -> float:
+    return NO_LIMIT if milli == LIFTED else milli / MILLI
--- a/briarspur/gateway/quota.py
+++ b/briarspur/gateway/quota.py
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-__all__ = ["CustomerUse", "Quota", "forecast"]
+__all__ = ["SharedUse", "Quota", "forecast"]
 
 HORIZON = 0.8
 """Seconds of requests for which there must be room if all are to be admitted."""
@@ -66,8 +66,8 @@
     return admitted + asked / RATE_SPAN * HORIZON
 
 
-class CustomerUse:
-    """What one entry knows of the use that a customer makes of its quota.
+class SharedUse:
+    """What one entry knows of the use of a quota over all entries.
 
     Attributes
     ----------
@@ -104,12 +104,20 @@
         draw : float
             From 0 to 1, spread evenly over requests; the same for one request at every entry.
         """
+        if not self.has_room(quota, draw, now):
+            return False
+        self.take(now)
+        return True
+
+    def has_room(self, quota: Quota, draw: float, now: float) -> bool:
+        """Tell whether a request lies within the quota; it is counted as asked for only."""
         self._asked.append(now)
         self._share = self._admitted_share(quota, now)
-        if draw >= self._share:
-            return False
+        return draw < self._share
+
+    def take(self, now: float) -> None:
+        """Count a request as admitted."""
         self._admitted.append(now)
-        return True
 
     def not_run(self) -> None:
         """Take back a request that was admitted."""
--- a/briarspur/gateway/quotas.py
+++ b/briarspur/gateway/quotas.py
@@ -6,7 +6,7 @@
 from zlib import crc32
 
 from briarspur.gateway.customers import Customer
-from briarspur.gateway.quota import CustomerUse, Quota, forecast
+from briarspur.gateway.quota import Quota, SharedUse, forecast
 
 __all__ = ["OverQuota", "Quotas"]
 
@@ -42,7 +42,7 @@
     quota: Quota
     admitted_number: int
     asked_number: int
-    use: CustomerUse = field(default_factory=CustomerUse)
+    use: SharedUse = field(default_factory=SharedUse)
 
 
 class Quotas:
--- a/briarspur/gateway/servernotice.py
+++ b/briarspur/gateway/servernotice.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-__all__ = ["NO_LIMIT", "ServerNotice"]
+__all__ = ["NO_LIMIT", "ServerNotice", "ToldLimit"]
 
 NO_LIMIT = math.inf
 """Requests per second of a server that names no limit."""
@@ -21,3 +21,22 @@
     """
 
     limit_per_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ToldLimit:
+    """A limit as one entry tells it to another.
+
+    Attributes
+    ----------
+    number : int
+        The server's incarnation.
+    per_s : float
+        Requests per second from all entries; :data:`NO_LIMIT` if it was lifted.
+    age : float
+        Seconds since the answer came that says so.
+    """
+
+    number: int
+    per_s: float
+    age: float
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -4,6 +4,7 @@
 seconds on the caller's monotonic clock.
 """
 
+from collections import Counter
 from collections.abc import Mapping
 
 from briarspur.codes import Code
@@ -38,6 +39,8 @@
 
 HEDGE_SHARE = 0.5
 """Part of the retry budget that these may use; the rest is left for requests that failed."""
+MOST_LOOKS = 8
+"""Servers without room within their limits that are looked at for one request, at most."""
 
 
 class Steering:
@@ -64,8 +67,8 @@
         self.quotas = Quotas(
             bounds.quota_window, self.loads.known, bounds.quota_overage, bounds.quota_slack
         )
-        self.loads.on_other = self.quotas.heard
-        self.limits = ServerLimits()
+        self.limits = ServerLimits(self.targets.by_number, self.loads.known)
+        self.loads.on_other = self._count_changed
         self.transit = TransitTimes(zone, region)
         self.times = WorkTimes()
         self.entries: list[str] = [me]
@@ -107,6 +110,16 @@
         """Take how many entries the store names."""
         self.fleet_size = size
         self.quotas.recorded = size
+        self.limits.recorded = size
+
+    def fleet_heard(self, size: int) -> None:
+        """Take how many entries are heard, this one included."""
+        self.quotas.live = size
+        self.limits.live = size
+
+    def uses(self, now: float) -> Counter[int]:
+        """Return the uses of what all entries share, to be told to the others by number."""
+        return self.quotas.counts(now) + self.limits.counts(now)
 
     # Requests
 
@@ -151,11 +164,13 @@
         if not targets:
             return Refused(Code.NO_TARGET, MOST_RETRY_AFTER)
         self._prepare_cold(work, targets, now)
-        wish = Wish(work.route, work.service, work.key, work.tried, work.size, work.regions)
-        choice = self._chooser.choose(wish, targets, self.targets.epoch, now)
+        choice = self._choose(work, work.regions, targets, now)
         if choice is None:
             suspected = sum(target.breaker.suspected(now) for target in targets)
-            detail = f"none of {len(targets)} targets in time, {suspected} suspected"
+            limited = self.limits.limited(targets)
+            detail = (
+                f"none of {len(targets)} targets in time, {suspected} suspected, {limited} limited"
+            )
             return Refused(Code.OVERLOADED, self._retry_after(work), detail)
         if choice.finish > work.deadline - now:
             detail = (
@@ -196,6 +211,8 @@
         attempt.ended = True
         target = attempt.target
         target.in_flight -= 1
+        if outcome in UNSENT:
+            self.limits.not_sent(target)
         if outcome in NOT_RUN and attempt.warms and attempt.work.key is not None:
             target.warmth.discard(attempt.work.key)
         match outcome:
@@ -235,12 +252,30 @@
 
     # Parts
 
+    def _choose(
+        self, work: Work, regions: frozenset[str], targets: list[Target], now: float
+    ) -> Choice | None:
+        """Return the best server that has room within the limit it names, if it names one."""
+        full: list[Target] = []
+        for _ in range(MOST_LOOKS):
+            wish = Wish(work.route, work.service, work.key, work.tried, work.size, regions, full)
+            choice = self._chooser.choose(wish, targets, self.targets.epoch, now)
+            if choice is None or self.limits.has_room(choice.target, work.request_id, now):
+                return choice
+            full.append(choice.target)
+        return None
+
+    def _count_changed(self, number: int, change: int) -> None:
+        self.quotas.heard(number, change)
+        self.limits.heard(number, change)
+
     def _send(self, work: Work, choice: Choice, now: float) -> Attempt:
         target = choice.target
         queued = target.load >= target.registration.slots
         if target.cold_until > now and target.cold_rate is not None:
             target.cold_rate.take(now)
         target.in_flight += 1
+        self.limits.sent(target, now)
         target.breaker.sent()
         # A server has an object at hand as soon as it begins with it: of two requests that overlap
         # only the first takes the cold time. Noted at the send, the next ones for the object follow
--- a/tests/gateway/limitfleet.py
+++ b/tests/gateway/limitfleet.py
@@ -10,7 +10,7 @@
 import random
 from bisect import bisect_left
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
 from briarspur.gateway.entryrecord import EntryRecord
@@ -97,6 +97,9 @@
             self.counts,
             dict,
             lambda: 0.0,
+            self.steering.uses,
+            self.steering.quotas.worth_telling,
+            self.steering.limits,
         )
 
     def counts(self) -> Counter[int]:
@@ -153,9 +156,26 @@
         for server, per_s in zip(self.servers, limits, strict=False):
             server.steps.append((at, per_s))
 
-    def play(self, begin: float, end: float, per_s: float, objects: int = 60) -> None:
-        """Let requests come at a rate, over all entries alike."""
-        names = list(self.entries_by_name)
+    def limiting(self, name: str) -> set[str]:
+        """Return the entries that believe a server to be limited."""
+        found = set()
+        for entry_id, entry in self.entries_by_name.items():
+            target = entry.steering.targets.get(name)
+            assert target is not None
+            if entry.steering.limits.limited([target]):
+                found.add(entry_id)
+        return found
+
+    def play(
+        self,
+        begin: float,
+        end: float,
+        per_s: float,
+        objects: int = 60,
+        callers: Sequence[str] = (),
+    ) -> None:
+        """Let requests come at a rate, over some entries alike; over all if none are named."""
+        names = callers or list(self.entries_by_name)
         now = begin
         while True:
             now += self._rng.expovariate(per_s)
@@ -184,6 +204,8 @@
         entry.gossip.members_changed(now)
         entry.steering.loads.expire(now)
         entry.steering.entries_changed(entry.fleet.entry_ids(now))
+        entry.steering.fleet_heard(entry.fleet.heard_size(now))
+        entry.steering.limits.forget(now)
         self._at(now + TICK, lambda at: self._tick(entry, at))
 
     def _tell(self, entry: _Entry, now: float) -> None:
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -2,8 +2,16 @@
 
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from briarspur.codes import Code
+from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
+from briarspur.gateway.work import Refused
 from tests.gateway.limitfleet import LimitFleet
+from tests.gateway.samples import begun, registration, sent, steering
 
+FIXED = settings(derandomize=True, deadline=None, database=None, max_examples=12)
 LIMITS = [1.7, 2.3, 1.4, 1.9, 0.3, 5.0]
 
 
@@ -21,3 +29,112 @@
             fleet.name_limits(8.0, LIMITS)
             fleet.play(0.0, 25.0, 70.0)
             self.check(fleet)
+
+    def test_a_limit_that_falls_holds_as_the_new_one(self) -> None:
+        """Guards against entries that use up the room of a limit that no longer holds."""
+        fleet = LimitFleet(10, 6)
+        fleet.name_limits(5.0, [6.0] * 6)
+        for at in range(12, 28, 2):
+            fleet.name_limits(float(at), [1.0 if at % 4 else 6.0] * 6)
+        fleet.play(0.0, 30.0, 80.0)
+        self.check(fleet)
+
+    def test_a_limit_holds_while_some_entries_are_cut_off(self) -> None:
+        """Guards against entries that hear nobody and each use what the others leave."""
+        fleet = LimitFleet(10, 6)
+        fleet.name_limits(5.0, [2.0] * 6)
+        fleet.play(0.0, 12.0, 70.0)
+        fleet.cut = {"e-1", "e-4", "e-7"}
+        fleet.play(12.0, 24.0, 70.0)
+        self.check(fleet)
+
+    def test_a_limit_is_used_while_there_is_demand(self) -> None:
+        """Guards against limits that refuse callers whom the servers would take."""
+        for entries, zones, per_s in ((10, 6, 1.7), (27, 3, 1.7), (27, 3, 0.5)):
+            fleet = LimitFleet(entries, 8, zones)
+            fleet.name_limits(5.0, [per_s] * 8)
+            fleet.play(0.0, 35.0, 70.0)
+            used = sum(server.rate(9.0, 35.0) for server in fleet.servers) / (8 * per_s)
+            self.assertGreaterEqual(used, 0.9, f"{entries} entries, {per_s} per second")
+            self.check(fleet)
+
+    def test_an_entry_that_sends_nothing_hears_that_a_limit_began_and_ended(self) -> None:
+        """Guards against a server that is avoided for ever by entries that do not ask it."""
+        for entries, zones in ((10, 6), (27, 3)):
+            fleet = LimitFleet(entries, 1, zones)
+            idle = list(fleet.entries_by_name)[1:]
+            fleet.name_limits(2.0, [3.0])
+            fleet.name_limits(8.0, [NO_LIMIT])
+            fleet.play(0.0, 4.0, 8.0, callers=["e-0"])
+            self.assertEqual(set(idle), fleet.limiting("t-0") & set(idle))
+            fleet.play(4.0, 10.0, 8.0, callers=["e-0"])
+            self.assertEqual(set(), fleet.limiting("t-0"))
+
+    @FIXED
+    @given(
+        st.integers(1, 30),
+        st.lists(st.sampled_from([0.0, 0.3, 1.7, 5.0, 20.0]), min_size=3, max_size=6),
+        st.sampled_from([0.0, 0.1, 0.3]),
+        st.sampled_from([10.0, 60.0]),
+        st.integers(0, 1_000),
+    )
+    def test_any_fleet_keeps_any_limits(
+        self, entries: int, limits: list[float], loss: float, per_s: float, seed: int
+    ) -> None:
+        fleet = LimitFleet(entries, len(limits), 3, seed, loss)
+        fleet.name_limits(3.0, limits)
+        fleet.name_limits(10.0, limits[::-1])
+        fleet.play(0.0, 16.0, per_s)
+        self.check(fleet)
+
+
+class BeliefTest(unittest.TestCase):
+    """What is believed of one server."""
+
+    def setUp(self) -> None:
+        self.steering = steering(1)
+        self.target = self.steering.targets.by_service["info"][0]
+        self.limits = self.steering.limits
+
+    def limited(self) -> int:
+        return self.limits.limited([self.target])
+
+    def test_a_server_that_takes_nothing_is_asked_from_time_to_time(self) -> None:
+        """Guards against a server that is shut out for ever since nobody hears it recover."""
+        self.limits.answered(self.target, 0.0, 0.0)
+        asked = [n * 0.1 for n in range(300)]
+        taken = 0
+        for at in asked:
+            if self.limits.has_room(self.target, f"r-{at}", at):
+                self.limits.sent(self.target, at)
+                taken += 1
+        self.assertTrue(3 <= taken <= 30.0 * 0.25 * 1.5 + 5.0, taken)
+
+    def test_an_older_word_of_another_entry_does_not_count(self) -> None:
+        self.limits.answered(self.target, NO_LIMIT, 10.0)
+        self.limits.answered(self.target, 2.0, 11.0)
+        self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 1.0)], 11.5)
+        self.assertEqual(1, self.limited())
+        self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 0.1)], 11.5)
+        self.assertEqual(0, self.limited())
+
+    def test_a_new_incarnation_has_no_limit(self) -> None:
+        self.limits.answered(self.target, 2.0, 1.0)
+        self.steering.targets.registered(registration("t-0", born=2), 2.0)
+        self.limits.forget(2.0)
+        self.assertEqual(0, self.limited())
+        self.assertEqual(0, self.limits.limited(self.steering.targets.by_service["info"]))
+        self.assertEqual((), self.limits.to_tell(True, 2.0))
+
+    def test_what_it_has_when_the_limit_is_first_heard_counts(self) -> None:
+        for _ in range(2):
+            sent(self.steering, begun(self.steering))
+        self.limits.answered(self.target, 1.0, 0.1)
+        self.assertEqual([2], sorted(self.limits.counts(0.1).values()))
+
+    def test_a_refusal_names_the_limited_servers(self) -> None:
+        self.limits.answered(self.target, 0.0, 0.0)
+        steps = [self.steering.next_attempt(begun(self.steering), 0.1) for _ in range(6)]
+        refused = [step for step in steps if isinstance(step, Refused)]
+        self.assertIs(Code.OVERLOADED, refused[0].code)
+        self.assertIn("1 limited", refused[0].detail)
