--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -17,6 +17,7 @@
 ZONES = {"a-1": "a", "a-2": "a", "b-1": "b"}
 SERVICES = ("s0", "s1")
 ATTEMPT_S = 3.0
+STORE_CALL_S = 2.0
 ONCE, REPEAT = "once", "again"
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -127,13 +128,22 @@
 async def call_store(
     port: int, method: str, path: str, body: object | None = None
 ) -> tuple[int, Any]:
-    """Make one call to the stand-in of the store, past all proxies."""
+    """Make one call to the stand-in of the store, past all proxies.
+
+    Raises
+    ------
+    TimeoutError
+        It did not answer; a silent outage of it is one of the faults.
+    """
     data = b"" if body is None else json.dumps(body).encode()
     head = f"{method} {path} HTTP/1.1\r\nHost: store\r\nConnection: close\r\n"
     reader, writer = await asyncio.open_connection(HOST, port)
-    writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
-    answer = await reader.read()
-    writer.close()
+    try:
+        writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
+        async with asyncio.timeout(STORE_CALL_S):
+            answer = await reader.read()
+    finally:
+        writer.close()
     top, _, text = answer.partition(b"\r\n\r\n")
     return int(top.split()[1]), json.loads(text) if text else None
 
