--- a/briarspur/gateway/news.py
+++ b/briarspur/gateway/news.py
@@ -96,6 +96,7 @@
         limited=[limit.number for limit in news.limits],
         limits_milli=[_limit_to_wire(limit.per_s) for limit in news.limits],
         limit_ages=_ages_to_wire(limit.age for limit in news.limits),
+        limits_held=_ages_to_wire(limit.held for limit in news.limits),
     )
     return message.SerializeToString()
 
@@ -118,7 +119,13 @@
         raise ValueError(f"part {message.part} of {parts}")
     if len(message.seen) != len(message.seen_ages):
         raise ValueError(f"{len(message.seen)} entries seen, {len(message.seen_ages)} ages")
-    limits = zip(message.limited, message.limits_milli, message.limit_ages, strict=True)
+    limits = zip(
+        message.limited,
+        message.limits_milli,
+        message.limit_ages,
+        message.limits_held,
+        strict=True,
+    )
     news = News(
         entry_id=message.entry_id,
         started=message.started,
@@ -138,8 +145,8 @@
             frozenset(message.leaving_seen),
         ),
         limits=tuple(
-            ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP)
-            for number, milli, age in limits
+            ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP, held * AGE_STEP)
+            for number, milli, age, held in limits
         ),
     )
     return news, message.sent_ms / MS
--- a/briarspur/gateway/quota.py
+++ b/briarspur/gateway/quota.py
@@ -69,6 +69,11 @@
 class SharedUse:
     """What one entry knows of the use of a quota over all entries.
 
+    Parameters
+    ----------
+    share : float
+        Which share of what is asked for all entries are taken to admit at first.
+
     Attributes
     ----------
     elsewhere : int
@@ -79,12 +84,12 @@
 
     __slots__ = ("_admitted", "_asked", "_share", "asked_elsewhere", "elsewhere")
 
-    def __init__(self) -> None:
+    def __init__(self, share: float = 1.0) -> None:
         self.elsewhere = 0
         self.asked_elsewhere = 0
         self._admitted: deque[float] = deque()
         self._asked: deque[float] = deque()
-        self._share = 1.0
+        self._share = share
 
     def admitted(self, now: float, window: float) -> int:
         """Return how many requests this entry admitted in the last window."""
--- a/briarspur/gateway/serverlimits.py
+++ b/briarspur/gateway/serverlimits.py
@@ -49,6 +49,8 @@
         Requests per second; :data:`NO_LIMIT` once it was lifted.
     said_at : float
         When the latest answer came that says so, on this entry's clock in seconds.
+    since : float
+        When the server began to name limits, on this entry's clock in seconds.
     own : bool
         That answer came here; else another entry told of it.
     sent_number, asked_number : int
@@ -58,10 +60,11 @@
     target: Target
     per_s: float
     said_at: float
+    since: float
     own: bool
     sent_number: int
     asked_number: int
-    use: SharedUse = field(default_factory=SharedUse)
+    use: SharedUse = field(default_factory=lambda: SharedUse(share=0.0))
     history: RateHistory = field(default_factory=lambda: RateHistory(WINDOW))
 
 
@@ -98,7 +101,7 @@
 
     def answered(self, target: Target, per_s: float, now: float) -> None:
         """Take the limit of an answer that came at this entry; :data:`NO_LIMIT` for none."""
-        self._take(target, per_s, now, now, FROM_ANSWER)
+        self._take(target, per_s, now, now, now, FROM_ANSWER)
 
     def told(self, told: Iterable[ToldLimit], now: float) -> None:
         """Take what another entry says, unless something later is known."""
@@ -109,7 +112,7 @@
             said_at = now - item.age
             limit = self._by_number.get(item.number)
             if limit is None or said_at > limit.said_at + TOLD_MARGIN:
-                self._take(target, item.per_s, said_at, now, FROM_ENTRY)
+                self._take(target, item.per_s, said_at, now - item.held, now, FROM_ENTRY)
 
     def to_tell(self, relays: bool, now: float) -> tuple[ToldLimit, ...]:
         """Return what the other entries are to be told.
@@ -128,7 +131,7 @@
         if len(fresh) > MOST_TOLD:
             fresh = sorted(fresh, key=attrgetter("said_at"), reverse=True)[:MOST_TOLD]
         return tuple(
-            ToldLimit(limit.target.number, limit.per_s, max(0.0, now - limit.said_at))
+            ToldLimit(limit.target.number, limit.per_s, now - limit.said_at, now - limit.since)
             for limit in fresh
         )
 
@@ -205,7 +208,15 @@
         part = self.live / max(self.live, self.recorded)
         return Quota(limit.history.mean(now), limit.per_s * HORIZON, WINDOW).part(part)
 
-    def _take(self, target: Target, per_s: float, said_at: float, now: float, source: str) -> None:
+    def _take(
+        self,
+        target: Target,
+        per_s: float,
+        said_at: float,
+        since: float,
+        now: float,
+        source: str,
+    ) -> None:
         per_s = max(LEAST_PER_S, per_s)
         limit = self._by_number.get(target.number)
         if limit is None:
@@ -218,9 +229,8 @@
         if limit.per_s < NO_LIMIT:
             limit.history.change(per_s, now)
         else:
-            # Where others have counted already, the limit has held for longer than is known here.
-            heard_late = limit.use.elsewhere > 0
-            limit.history.begin(per_s, now - WINDOW if heard_late else now)
+            limit.since = since
+            limit.history.begin(per_s, since)
         limit.per_s = per_s
         logs.event(
             "target-limit",
@@ -234,7 +244,7 @@
     def _new(self, target: Target, said_at: float, now: float) -> _Limit:
         """Return a limit that counts what the server has of this entry already."""
         sent, asked = _number("sent", target), _number("asked", target)
-        limit = _Limit(target, NO_LIMIT, said_at, False, sent, asked)
+        limit = _Limit(target, NO_LIMIT, said_at, said_at, False, sent, asked)
         for _ in range(target.in_flight):
             limit.use.take(now)
         limit.use.elsewhere = self._known(sent)
--- a/briarspur/gateway/servernotice.py
+++ b/briarspur/gateway/servernotice.py
@@ -35,8 +35,11 @@
         Requests per second from all entries; :data:`NO_LIMIT` if it was lifted.
     age : float
         Seconds since the answer came that says so.
+    held : float
+        Seconds for which the server has named limits without a break.
     """
 
     number: int
     per_s: float
     age: float
+    held: float
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -9,6 +9,7 @@
 from briarspur.gateway.loadview import News, SeenEntries
 from briarspur.gateway.news import AGE_STEP, NewsPort, news_from_wire, news_to_wire
 from briarspur.gateway.replica import Kind
+from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
 
 NUMBER = st.integers(0, 2**32 - 1)
 SEQUENCE = st.integers(1, 2**31)
@@ -45,6 +46,14 @@
         for told, age in zip((0.5, 0.0, 255 * AGE_STEP), read.ages, strict=True):
             self.assertAlmostEqual(told, age)
 
+    def test_limits_of_servers_are_told_with_their_ages(self) -> None:
+        limits = (ToldLimit(1, 1.7, 0.1, 0.5), ToldLimit(2, NO_LIMIT, 0.0, 99.0))
+        sent = News("e-1", 1, 1, False, {}, limits=limits)
+        read = news_from_wire(news_to_wire(sent, 1.0))[0].delayed(0.2).limits
+        self.assertEqual([(1, 1.7), (2, NO_LIMIT)], [(item.number, item.per_s) for item in read])
+        for told, age in zip((0.3, 0.2), (item.age for item in read), strict=True):
+            self.assertAlmostEqual(told, age)
+
     def test_what_contradicts_itself_is_counted_and_dropped(self) -> None:
         """Guards against a process that fails on a datagram of a broken or foreign sender."""
         heard: list[News] = []
@@ -55,8 +64,9 @@
             pb.LoadNews(entry_id="e-1", seen=[1, 2], seen_ages=b"\x00"),
             pb.LoadNews(entry_id="e-1", targets=[1], counts=[]),
             pb.LoadNews(entry_id="e-1", included=[1, 2], included_sequences=[1]),
+            pb.LoadNews(entry_id="e-1", limited=[1], limits_milli=[100], limit_ages=b""),
         ):
             port.datagramReceived(message.SerializeToString(), None)
         port.datagramReceived(b"\xff\xff\xff", None)
         self.assertEqual([], heard)
-        self.assertEqual(6, port.malformed)
+        self.assertEqual(7, port.malformed)
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -113,9 +113,9 @@
     def test_an_older_word_of_another_entry_does_not_count(self) -> None:
         self.limits.answered(self.target, NO_LIMIT, 10.0)
         self.limits.answered(self.target, 2.0, 11.0)
-        self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 1.0)], 11.5)
+        self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 1.0, 1.0)], 11.5)
         self.assertEqual(1, self.limited())
-        self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 0.1)], 11.5)
+        self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 0.1, 0.1)], 11.5)
         self.assertEqual(0, self.limited())
 
     def test_a_new_incarnation_has_no_limit(self) -> None:
