Let servers of the fault soak name limits, and judge by what reached them

A stand-in server names a limit for some seconds and takes it back; its ledger has every arrival, those that it turned away included. Gateways that were killed or stood still, and ways that were cut, excuse what comes from there.

--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -36,6 +36,7 @@
     slots: int = 4
     work_s: float = 0.05
     draining: bool = False
+    limit_per_s: float | None = None
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     sequence: int = 0
     isLeaf = True  # noqa: N815
@@ -45,6 +46,11 @@
         self._running: dict[Request, Any] = {}
         self._queue: list[Request] = []
 
+    def take(self, item: dict[str, Any]) -> None:
+        """Take what a settings file says of the server and may change."""
+        self.draining = item["draining"]
+        self.limit_per_s = item.get("limit_per_s")
+
     def spec(self) -> dict[str, Any]:
         """Return the registration."""
         self.sequence += 1
@@ -62,11 +68,12 @@
 
     def render(self, request: Request) -> int:
         """Run a request, queue it, or turn it away."""
+        self._note("arrival", request)
         expected = request.getHeader(b"x-expected-instance")
         if expected is not None and expected != self.target_id.encode():
             _answer(request, 421, {b"X-Instance-Id": self.target_id.encode()})
         elif len(self._queue) >= QUEUE_SHARE * self.slots:
-            _answer(request, 503, {b"X-Not-Executed": b"1"})
+            _answer(request, 503, {b"X-Not-Executed": b"1", **self._notices()})
         else:
             request.notifyFinish().addBoth(self._gone, request)
             self._queue.append(request)
@@ -76,19 +83,29 @@
     def _next(self) -> None:
         while self._queue and len(self._running) < self.slots:
             request = self._queue.pop(0)
-            request_id = (request.getHeader(b"x-request-id") or b"").decode()
-            self._note(request_id)
+            self._note("run", request)
             self._running[request] = _reactor().callLater(self.work_s, self._done, request)
 
-    def _note(self, request_id: str) -> None:
-        row = {"id": request_id, "target": self.target_id, "at": time.time()}
+    def _note(self, what: str, request: Request) -> None:
+        request_id = (request.getHeader(b"x-request-id") or b"").decode()
+        row = {"what": what, "id": request_id, "target": self.target_id, "at": time.time()}
         self.ledger.write(json.dumps(row) + "\n")
         self.ledger.flush()
 
+    def _notices(self) -> dict[bytes, bytes]:
+        """Return what the server says of itself in an answer."""
+        if self.limit_per_s is None:
+            return {}
+        return {b"Server-Limit": b"%.2f" % self.limit_per_s}
+
     def _done(self, request: Request) -> None:
         self._running.pop(request, None)
         request_id = request.getHeader(b"x-request-id") or b""
-        headers = {b"X-Response-Signature": b"s-" + request_id, b"X-Request-Id": request_id}
+        headers = {
+            b"X-Response-Signature": b"s-" + request_id,
+            b"X-Request-Id": request_id,
+            **self._notices(),
+        }
         _answer(request, 200, headers, b"body of %b by %b" % (request_id, self.service.encode()))
         self._next()
 
@@ -157,11 +174,9 @@
     targets: list[LiveTarget] = []
 
     def reload(*_: object) -> None:
-        draining = {
-            item["id"]: item["draining"] for item in json.loads(path.read_text())["targets"]
-        }
+        items = {item["id"]: item for item in json.loads(path.read_text())["targets"]}
         for target in targets:
-            target.draining = draining[target.target_id]
+            target.take(items[target.target_id])
 
     def start() -> None:
         ledger = Path(settings["ledger"]).open("a", encoding="utf-8")  # noqa: SIM115
@@ -171,7 +186,7 @@
                 item["id"], item["service"], item["zone"], item["advertised"], ledger
             )
             target.work_s = item.get("work_s", target.work_s)
-            target.draining = item["draining"]
+            target.take(item)
             _reactor().listenTCP(item["port"], Site(target), interface=item["host"])
             targets.append(target)
         Registrar(settings["store"], targets).beat()
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -1,11 +1,13 @@
 """A short run of the fault soak, and the seeds that once found something."""
 
 import asyncio
+import json
 import tempfile
 import unittest
 from pathlib import Path
 
 from tools.faultsoak import FaultSoak
+from tools.soaknotices import Limited
 from tools.soakparts import Seen
 
 KEPT_SEEDS: tuple[tuple[int, str], ...] = ((1, "the short run of CI; it has found nothing so far"),)
@@ -44,3 +46,24 @@
             for what in ("run twice", "but run", "not the server's", "not known", "nobody asked"):
                 self.assertIn(what, text)
             self.assertIn("begun at a server that left", text)
+
+    def test_the_judge_sees_a_limit_that_is_not_kept(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            soak = FaultSoak(1, 1.0, 1, Path(folder))
+            soak.seen = [Seen(f"r{n}", "/base/again/", False, "g0", 0.0) for n in range(60)]
+            rows = [
+                {"what": "arrival", "id": f"r{n}", "target": target, "at": 100.0 + n * step}
+                for target, step in (("fast", 0.1), ("slow", 0.8))
+                for n in range(60)
+            ]
+            ledger = Path(folder) / "targets0.runs"
+            ledger.write_text("".join(json.dumps(row) + "\n" for row in rows))
+            notices = soak._notices
+            notices._limited = [
+                Limited(target, "targets0", 1.0, 100.0, 150.0) for target in ("fast", "slow")
+            ]
+            found = list(notices.judge(soak.seen))
+            self.assertEqual(1, len(found))
+            self.assertIn("fast named a limit of 1.0 a second and got 40", found[0])
+            notices._harms["g0"].append(103.0)
+            self.assertEqual([], list(notices.judge(soak.seen)))
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -25,6 +25,7 @@
 
 from standins.launcher import Launcher  # noqa: E402
 from standins.loopproxy import Harm  # noqa: E402
+from tools.soaknotices import NoticeFaults  # noqa: E402
 from tools.soakparts import (  # noqa: E402
     HOST,
     ONCE,
@@ -73,6 +74,7 @@
         self._added: list[tuple[float, str, bool]] = []
         self._drained: list[tuple[float, str]] = []
         self._callers: list[Caller] = []
+        self._notices = NoticeFaults(self._rng, self.site, self._launcher)
 
     async def run(self) -> None:
         """Start everything, harm it, end it, and judge."""
@@ -116,6 +118,7 @@
             self._kill_targets,
             self._drain,
             self._change,
+            self._notices.limit,
         ]
         running: list[asyncio.Future[None]] = []
         while time.time() < until:
@@ -144,6 +147,7 @@
         await asyncio.sleep(self._rng.uniform(0.2, 2.5))
         self._launcher.signal(name, signal.SIGCONT)
         self._disturb()
+        self._notices.harmed(name)
 
     async def _hang_up(self) -> None:
         self._launcher.signal(self._gateway(), signal.SIGHUP)
@@ -175,6 +179,7 @@
         if harm.silent_there or harm.silent_back:
             proxy.reset()
         self._disturb()
+        self._notices.harmed(name)
 
     async def _store_away(self) -> None:
         self._disturb()
@@ -240,11 +245,13 @@
         if not self._launcher.alive(name):
             self._start_gateway(name)
         self._disturb()
+        self._notices.harmed(name)
 
     def _start(self, name: str, module: str, *arguments: str) -> None:
         self._launcher.start(name, module, *arguments)
 
     def _start_targets(self, process: str) -> None:
+        self._notices.harmed(process)
         self._start(process, "standins.livetarget", "--settings", self.site.write_targets(process))
 
     def _start_gateway(self, name: str) -> None:
@@ -329,6 +336,7 @@
             if request_id not in known:
                 self.findings.append(f"a run that nobody asked for: {request_id}")
             self._judge_drain(request_id, rows)
+        self.findings.extend(self._notices.judge(self.seen))
         answered = sum(seen.status == 200 for seen in self.seen)
         if answered * 2 < len(self.seen):
             self.findings.append(f"only {answered} of {len(self.seen)} requests were answered")
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -4,7 +4,9 @@
 import json
 import time
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from operator import itemgetter
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +21,8 @@
 ATTEMPT_S = 3.0
 STORE_CALL_S = 2.0
 ONCE, REPEAT = "once", "again"
+RUN, ARRIVAL = "run", "arrival"
+"""What a line of a target's ledger tells."""
 PROMISES = frozenset({408, 421, 429, 503})
 
 
@@ -108,11 +112,21 @@
     def runs(self) -> dict[str, list[dict[str, Any]]]:
         """Return the runs by request id, from the ledgers of all processes of targets."""
         by_id: dict[str, list[dict[str, Any]]] = defaultdict(list)
+        for row in self._rows(RUN):
+            by_id[row["id"]].append(row)
+        return by_id
+
+    def arrivals(self, target_id: str) -> list[dict[str, Any]]:
+        """Return the requests that reached a target, those included that it turned away."""
+        rows = [row for row in self._rows(ARRIVAL) if row["target"] == target_id]
+        return sorted(rows, key=itemgetter("at"))
+
+    def _rows(self, what: str) -> Iterator[dict[str, Any]]:
         for path in self.folder.glob("*.runs"):
             for line in path.read_text().splitlines():
                 row = json.loads(line)
-                by_id[row["id"]].append(row)
-        return by_id
+                if row.get("what", RUN) == what:
+                    yield row
 
     def _proxy(self, name: str, port: int) -> int:
         own = free_port(HOST)
