Read that a server leaves or asks for rest in its answers; log and count what is believed

Logs could not tell whether an entry knows that a server said so. A leaving server is a `target-departed` line with way=answer, a rest a `target-rest` line, and two metrics count them. No decision uses them yet.

--- a/briarspur/gateway/exposition.py
+++ b/briarspur/gateway/exposition.py
@@ -18,6 +18,8 @@
     "targets": "gauge by service: backend servers that take new work",
     "targets_suspected": "gauge by service: those whose last attempt failed",
     "targets_limited": "gauge by service: those that name a limit of requests a second",
+    "targets_leaving": "gauge by service: those that said in an answer that they leave",
+    "targets_resting": "gauge by service: those that want nothing from this entry for a while",
     "in_flight": "gauge by service: requests at backend servers, of all entries",
     "entries_live": "gauge: live entries, this one included",
     "configuration_version": "gauge: version of the configuration in force",
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -1,5 +1,6 @@
 """What a gateway process shows of itself to scrapers."""
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from briarspur.gateway.exposition import Exposition
@@ -39,12 +40,19 @@
 
 def _targets(page: Exposition, gateway: "Gateway") -> None:
     now = gateway.pool.seconds()
+    leaving = Counter(
+        target.registration.service
+        for target in gateway.steering.targets.by_number.values()
+        if target.leaving
+    )
+    page.values("targets_leaving", "service", leaving)
     for service, targets in sorted(gateway.steering.targets.by_service.items()):
         page.value("targets", len(targets), service=service)
         suspected = sum(target.breaker.suspected(now) for target in targets)
         page.value("targets_suspected", suspected, service=service)
         limited = gateway.steering.limits.limited(targets)
         page.value("targets_limited", limited, service=service)
+        page.value("targets_resting", sum(t.rest_until > now for t in targets), service=service)
         page.value("in_flight", sum(target.load for target in targets), service=service)
 
 
--- a/briarspur/gateway/servernotice.py
+++ b/briarspur/gateway/servernotice.py
@@ -18,9 +18,15 @@
     limit_per_s : float or None
         Requests per second that the server takes from all entries together, :data:`NO_LIMIT` if it
         names none; None if the answer does not tell, so that what it said earlier holds.
+    leaving : bool
+        The server takes no new work any more.
+    rest : float
+        Seconds from now on in which the server wants nothing from this entry.
     """
 
     limit_per_s: float | None = None
+    leaving: bool = False
+    rest: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from briarspur import logs
 from briarspur.codes import Code
 from briarspur.gateway.authorization import Authorization
 from briarspur.gateway.chooser import Choice, Chooser, Wish
@@ -39,6 +40,8 @@
 
 HEDGE_SHARE = 0.5
 """Part of the retry budget that these may use; the rest is left for requests that failed."""
+FROM_ANSWER = "answer"
+"""How a departure is learnt that the server itself told."""
 MOST_LOOKS = 8
 """Servers without room within their limits that are looked at for one request, at most."""
 
@@ -194,6 +197,10 @@
         """Take what a server says of itself in an answer."""
         if notice.limit_per_s is not None:
             self.limits.answered(target, notice.limit_per_s, now)
+        if notice.leaving:
+            self.targets.leaves(target, FROM_ANSWER)
+        if notice.rest > 0.0:
+            self._rests(target, notice.rest, now)
 
     def overdue(self, attempt: Attempt, now: float) -> None:
         """Note that an attempt takes far longer than expected."""
@@ -252,6 +259,14 @@
 
     # Parts
 
+    def _rests(self, target: Target, seconds: float, now: float) -> None:
+        """Take a rest that a server asks for; of several the latest end counts."""
+        end = now + seconds
+        if end <= target.rest_until:
+            return
+        target.rest_until = end
+        logs.event("target-rest", target=target.registration.target_id, seconds=f"{seconds:.3f}")
+
     def _choose(
         self, work: Work, regions: frozenset[str], targets: list[Target], now: float
     ) -> Choice | None:
--- a/briarspur/gateway/target.py
+++ b/briarspur/gateway/target.py
@@ -44,6 +44,10 @@
         When this entry last sent it an object only to make it warm there.
     cold_until : float
         When it stops being cold, on this entry's clock.
+    leaving : bool
+        It said itself, in an answer to some entry, that it takes no new work.
+    rest_until : float
+        Until when it wants nothing from this entry, on this entry's clock.
     """
 
     __slots__ = (
@@ -56,9 +60,11 @@
         "gone",
         "in_flight",
         "invited_at",
+        "leaving",
         "number",
         "region",
         "registration",
+        "rest_until",
         "speed",
         "trouble",
         "warmth",
@@ -74,6 +80,8 @@
         self.elsewhere = 0
         self.speed = 1.0
         self.gone = False
+        self.leaving = False
+        self.rest_until = float("-inf")
         self.trouble = 0.0
         self.invited_at = float("-inf")
         self.cold_until = now + registration.cold_s
--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -90,6 +90,19 @@
             logs.event("target-gone", target=target.registration.target_id, reason="421")
             self._rebuild()
 
+    def leaves(self, target: Target, way: str) -> None:
+        """Take a server's own word that it leaves, and how it came here."""
+        if target.leaving:
+            return
+        target.leaving = True
+        if not target.registration.draining:
+            logs.event(
+                "target-departed",
+                target=target.registration.target_id,
+                way=way,
+                age_s=f"{0.0:.3f}",
+            )
+
     def evacuate(self, zones: Iterable[str], now: float) -> None:
         """Send nothing new to these zones; those no longer named may be used again, as cold."""
         zones = frozenset(zones)
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -60,6 +60,7 @@
         "what a backend server is believed to take changed: requests a second from all entries,"
         " who says so and how long ago"
     ),
+    "target-rest": "a backend server wants nothing from this entry for so many seconds",
     "target-departed": (
         "a backend server in use leaves or is gone: how that was learnt, how long ago at most"
     ),
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -90,7 +90,7 @@
 
     def notice(self, head: AnswerHead) -> ServerNotice | None:
         """Return what an answer says of its server; None if it may be another server's."""
-        return read_notice(head.headers, self.outcome(head))
+        return read_notice(head.headers, head.status, self.outcome(head))
 
     def answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an answer that its caller gets."""
--- a/briarspur/platform/names.py
+++ b/briarspur/platform/names.py
@@ -10,6 +10,7 @@
     "NOT_EXECUTED",
     "REQUEST_ID",
     "RESPONSE_SIGNATURE",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
 ]
 
@@ -33,3 +34,5 @@
 """The name of that customer, as a backend server gets it."""
 SERVER_LIMIT = b"Server-Limit"
 """Requests per second that a backend server takes from all entries together."""
+SERVER_LEAVING = b"Server-Leaving"
+"""The backend server takes no new work any more."""
