--- a/tests/gateway/limitfleet.py
+++ b/tests/gateway/noticefleet.py
@@ -1,7 +1,7 @@
-"""Entries before backend servers that name limits, in virtual time and without a network.
+"""Entries before servers that say things of themselves, in virtual time and without a network.
 
 Each entry is a real decision core with real gossip. Messages between entries take some time and may
-be lost; every answer names the server's limit of that moment.
+be lost; every answer carries what its server says at that moment.
 """
 
 import heapq
@@ -20,10 +20,10 @@
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.servernotice import NO_LIMIT, ServerNotice
 from briarspur.gateway.steering import Steering
-from briarspur.gateway.work import Arrival, Attempt, Bounds, Work
+from briarspur.gateway.work import Arrival, Attempt, Bounds, Refused, Work
 from tests.gateway.samples import configuration, registration, route
 
-__all__ = ["LimitFleet", "LimitedServer"]
+__all__ = ["NoticeFleet", "NoticeServer"]
 
 WINDOW, FACTOR, SLACK = 4.0, 1.5, 5.0
 """Seconds of a window, and by how much its requests may exceed a limit: a factor, and requests."""
@@ -31,6 +31,9 @@
 """Seconds after a server first named a limit from which the limit must hold."""
 TOLD = 0.5
 """Seconds after an answer that names a limit from which its entry must obey."""
+REST = 3.0
+HEARD = 0.5
+"""Seconds of a rest, and seconds of it within which requests may still be on their way."""
 TICK = 0.25
 WORK = 0.2
 PATIENCE = 4.0
@@ -41,14 +44,53 @@
 
 
 @dataclass(slots=True)
-class LimitedServer:
-    """A server, what it takes from when on, and which requests came from which entry."""
+class NoticeServer:
+    """A server, what it says from when on, and which requests came from which entry.
+
+    Attributes
+    ----------
+    steps : list
+        Limits in requests per second, with the time from which each holds.
+    leaves_at : float
+        When it begins to say that it leaves.
+    rests : tuple
+        Begin and end of the time in which it turns all requests away and asks for rest.
+    told_at, left_at : dict
+        When an entry had the first answer that names a limit, or that says that the server leaves.
+    asked_at : dict
+        When an entry had answers that ask for rest.
+    """
 
     name: str
     region: str
     steps: list[tuple[float, float]] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
+    leaves_at: float = math.inf
+    rests: tuple[float, float] = (math.inf, math.inf)
     told_at: dict[str, float] = field(default_factory=dict)
+    left_at: dict[str, float] = field(default_factory=dict)
+    asked_at: dict[str, list[float]] = field(default_factory=dict)
+
+    def notice(self, now: float) -> ServerNotice:
+        """Return what an answer of this moment says."""
+        rest = REST if self.rests[0] <= now < self.rests[1] else 0.0
+        return ServerNotice(self.limit(now), now >= self.leaves_at, rest)
+
+    def latest_after_leaving(self) -> float:
+        """Return for how long a request came at most after any entry had heard of its leaving."""
+        first = min(self.left_at.values(), default=math.inf)
+        return max((at - first for at, _ in self.arrivals), default=-math.inf)
+
+    def most_in_rest(self) -> int:
+        """Return the most requests that an entry sent within a rest that it had been asked for."""
+        return max(
+            (
+                sum(at + HEARD <= came < at + REST for came, by in self.arrivals if by == entry)
+                for entry, asked in self.asked_at.items()
+                for at in asked
+            ),
+            default=0,
+        )
 
     def limit(self, now: float) -> float:
         """Return the requests per second that it takes."""
@@ -82,7 +124,7 @@
 
 
 class _Entry:
-    def __init__(self, fleet: "LimitFleet", number: int, zones: int) -> None:
+    def __init__(self, fleet: "NoticeFleet", number: int, zones: int) -> None:
         zone = f"z-{number % zones}"
         region = f"r-{number % zones % REGIONS}"
         name = f"e-{number}"
@@ -108,7 +150,7 @@
         return Counter({n: t.in_flight for n, t in targets.items() if t.in_flight})
 
 
-class LimitFleet:
+class NoticeFleet:
     """Entries in some zones, and servers of one service.
 
     Parameters
@@ -129,7 +171,7 @@
         self.cut: set[str] = set()
         self.asked = self.refused = 0
         self.servers = [
-            LimitedServer(f"t-{n}", self.regions_by_zone[f"z-{n % zones}"]) for n in range(servers)
+            NoticeServer(f"t-{n}", self.regions_by_zone[f"z-{n % zones}"]) for n in range(servers)
         ]
         self._by_name = {server.name: server for server in self.servers}
         self.entries_by_name: dict[str, _Entry] = {}
@@ -214,34 +256,52 @@
 
     def _arrive(self, name: str, key: bytes, now: float) -> None:
         self.asked += 1
-        entry = self.entries_by_name[name]
-        steering = entry.steering
+        steering = self.entries_by_name[name].steering
         arrival = Arrival(f"q-{self.asked}", "quay.example", "/times/x", key, PATIENCE)
         work = steering.begin(arrival, now)
         assert isinstance(work, Work)
-        step = steering.next_attempt(work, now)
+        self._send(name, steering.next_attempt(work, now), now)
+
+    def _send(self, name: str, step: Attempt | Refused | None, now: float) -> None:
         if not isinstance(step, Attempt):
             self.refused += 1
             return
+        step.work.sent += 1
+        entry = self.entries_by_name[name]
         server = self._by_name[step.target.registration.target_id]
         way = WAYS[0] if server.region == entry.record.region else WAYS[1]
         self._at(now + way, lambda at: self._reach(name, server, step, way, at))
 
     def _reach(
-        self, name: str, server: LimitedServer, attempt: Attempt, way: float, now: float
+        self, name: str, server: NoticeServer, attempt: Attempt, way: float, now: float
     ) -> None:
         server.arrivals.append((now, name))
+        if server.notice(now).rest > 0.0:
+            self._at(now + way, lambda at: self._reject(name, server, attempt, at))
+            return
         work = WORK * self._rng.uniform(0.5, 1.5)
         self._at(now + work + way, lambda at: self._answer(name, server, attempt, at))
 
-    def _answer(self, name: str, server: LimitedServer, attempt: Attempt, now: float) -> None:
+    def _answer(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
         steering = self.entries_by_name[name].steering
-        per_s = server.limit(now)
-        if per_s < NO_LIMIT:
-            server.told_at.setdefault(name, now)
-        steering.noticed(attempt.target, ServerNotice(limit_per_s=per_s), now)
+        self._note(name, server, attempt, now)
         steering.ended(attempt, Outcome.ANSWERED, now)
 
+    def _reject(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
+        steering = self.entries_by_name[name].steering
+        server.asked_at.setdefault(name, []).append(now)
+        self._note(name, server, attempt, now)
+        steering.ended(attempt, Outcome.REJECTED, now)
+        self._send(name, steering.retry(attempt.work, Outcome.REJECTED, now), now)
+
+    def _note(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
+        notice = server.notice(now)
+        if notice.limit_per_s != NO_LIMIT:
+            server.told_at.setdefault(name, now)
+        if notice.leaving:
+            server.left_at.setdefault(name, now)
+        self.entries_by_name[name].steering.noticed(attempt.target, notice, now)
+
     def _at(self, moment: float, event: Callable[[float], None]) -> None:
         heapq.heappush(self._events, (moment, next(self._numbers), event))
 
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -8,7 +8,7 @@
 from briarspur.codes import Code
 from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
 from briarspur.gateway.work import Refused
-from tests.gateway.limitfleet import LimitFleet
+from tests.gateway.noticefleet import NoticeFleet
 from tests.gateway.samples import begun, registration, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None, max_examples=12)
@@ -18,21 +18,21 @@
 class FleetLimitTest(unittest.TestCase):
     """A server that names a limit gets no more than that from all entries together."""
 
-    def check(self, fleet: LimitFleet) -> None:
+    def check(self, fleet: NoticeFleet) -> None:
         for server in fleet.servers:
             self.assertLessEqual(server.excess(), 0.0, f"{server.name}, steps {server.steps}")
 
     def test_a_named_limit_holds_over_all_entries(self) -> None:
         """Guards against entries that go on as before when servers name limits under load."""
         for entries, zones in ((10, 6), (27, 3)):
-            fleet = LimitFleet(entries, 16, zones)
+            fleet = NoticeFleet(entries, 16, zones)
             fleet.name_limits(8.0, LIMITS)
             fleet.play(0.0, 25.0, 70.0)
             self.check(fleet)
 
     def test_a_limit_that_falls_holds_as_the_new_one(self) -> None:
         """Guards against entries that use up the room of a limit that no longer holds."""
-        fleet = LimitFleet(10, 6)
+        fleet = NoticeFleet(10, 6)
         fleet.name_limits(5.0, [6.0] * 6)
         for at in range(12, 28, 2):
             fleet.name_limits(float(at), [1.0 if at % 4 else 6.0] * 6)
@@ -41,7 +41,7 @@
 
     def test_a_limit_holds_while_some_entries_are_cut_off(self) -> None:
         """Guards against entries that hear nobody and each use what the others leave."""
-        fleet = LimitFleet(10, 6)
+        fleet = NoticeFleet(10, 6)
         fleet.name_limits(5.0, [2.0] * 6)
         fleet.play(0.0, 12.0, 70.0)
         fleet.cut = {"e-1", "e-4", "e-7"}
@@ -51,7 +51,7 @@
     def test_a_limit_is_used_while_there_is_demand(self) -> None:
         """Guards against limits that refuse callers whom the servers would take."""
         for entries, zones, per_s in ((10, 6, 1.7), (27, 3, 1.7), (27, 3, 0.5)):
-            fleet = LimitFleet(entries, 8, zones)
+            fleet = NoticeFleet(entries, 8, zones)
             fleet.name_limits(5.0, [per_s] * 8)
             fleet.play(0.0, 35.0, 70.0)
             used = sum(server.rate(9.0, 35.0) for server in fleet.servers) / (8 * per_s)
@@ -61,7 +61,7 @@
     def test_an_entry_that_sends_nothing_hears_that_a_limit_began_and_ended(self) -> None:
         """Guards against a server that is avoided for ever by entries that do not ask it."""
         for entries, zones in ((10, 6), (27, 3)):
-            fleet = LimitFleet(entries, 1, zones)
+            fleet = NoticeFleet(entries, 1, zones)
             idle = list(fleet.entries_by_name)[1:]
             fleet.name_limits(2.0, [3.0])
             fleet.name_limits(8.0, [NO_LIMIT])
@@ -81,7 +81,7 @@
     def test_any_fleet_keeps_any_limits(
         self, entries: int, limits: list[float], loss: float, per_s: float, seed: int
     ) -> None:
-        fleet = LimitFleet(entries, len(limits), 3, seed, loss)
+        fleet = NoticeFleet(entries, len(limits), 3, seed, loss)
         fleet.name_limits(3.0, limits)
         fleet.name_limits(10.0, limits[::-1])
         fleet.play(0.0, 16.0, per_s)
