Send nothing new to a server that has said in an answer that it leaves

What callers saw: requests at a server 3.3 to 4.2 s after it had said so to the entry that sent them (bound 2.5 s). The store, the only source of departures, was away, and took the server's word 13 s after it had begun to leave.

Cause: as with limits, a server's own word was dropped at the connection.

Now the word closes that incarnation of the server for this entry at once: first attempts, retries, second attempts, and a request that waits for its connection (`takes_work`). Nothing undoes it but a new incarnation. Each entry that hears of it tells the others for 3 s, so that one that is not answered by that server learns it too. What the server has runs to its end.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -116,7 +116,7 @@
             lambda: self.following.store_age(),
             self.steering.uses,
             self.steering.quotas.worth_telling,
-            self.steering.limits,
+            self.steering,
         )
         self.following = Following(
             self.gossip,
--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -136,7 +136,7 @@
     def _departed(self, target_id: str, way: str, age: float) -> None:
         """Log how old a departure is when it takes effect here, if the target was in use."""
         target = self._steering.targets.get(target_id)
-        if target is None or target.registration.draining:
+        if target is None or target.registration.draining or target.leaving:
             return
         age = min(age, LONGEST_AGE)
         self.departure_ages.setdefault(way, Histogram()).record(age)
--- a/briarspur/gateway/gossip.py
+++ b/briarspur/gateway/gossip.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from briarspur import logs
@@ -13,7 +13,7 @@
 from briarspur.gateway.loadview import ALL_OTHERS, LoadView, MemberSeen, News, SeenEntries
 from briarspur.gateway.relay import Relay, split_counts
 from briarspur.gateway.replica import Kind
-from briarspur.gateway.servernotice import ToldLimit
+from briarspur.gateway.servernotice import NOTHING_SAID, ToldNotices
 
 __all__ = ["Gossip", "GossipSender"]
 
@@ -50,13 +50,13 @@
         """Send it; it may be lost."""
 
 
-class LimitNews(Protocol):
-    """Keeps what backend servers say they take."""
+class NoticeKeeper(Protocol):
+    """Keeps what backend servers say of themselves."""
 
-    def told(self, told: Iterable[ToldLimit], now: float) -> None:
+    def take_notices(self, notices: ToldNotices, now: float) -> None:
         """Take what another entry says."""
 
-    def to_tell(self, relays: bool, now: float) -> tuple[ToldLimit, ...]:
+    def notices_to_tell(self, relays: bool, now: float) -> ToldNotices:
         """Return what the others are to be told; what others told, too, if this entry relays."""
 
 
@@ -75,8 +75,8 @@
         Returns what customers used at this entry; told along with the requests in flight.
     worth_telling : callable
         Returns what the members of a group need to know of the sum of all entries.
-    limits : LimitNews, optional
-        Keeps what backend servers say they take.
+    notices : NoticeKeeper, optional
+        Keeps what backend servers say of themselves.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         store_age: Callable[[], float],
         uses: Callable[[float], Counter[int]] = lambda now: Counter(),
         worth_telling: Callable[[Mapping[int, int]], Counter[int]] = Counter,
-        limits: LimitNews | None = None,
+        notices: NoticeKeeper | None = None,
     ) -> None:
         self._me = me
         self._fleet = fleet
@@ -101,7 +101,7 @@
         self._store_age = store_age
         self._uses = uses
         self._worth_telling = worth_telling
-        self._limits = limits
+        self._notices = notices
         self.groups = GroupView(me)
         self._lead = Lead(self.groups)
         self._relay = Relay()
@@ -139,9 +139,9 @@
         """Take a message; return whether it is the sender's latest of its kind."""
         if news.entry_id == self._me.entry_id:
             return False
-        if self._limits is not None:
+        if self._notices is not None:
             # Each limit has an age of its own, so those of late news count as well.
-            self._limits.told(news.limits, now)
+            self._notices.take_notices(news.notices, now)
         if not news.group:
             taken = self._own_news_received(news, now)
         elif news.group == ALL_OTHERS:
@@ -317,14 +317,14 @@
             parts=parts,
             included=included or {},
             seen=seen,
-            limits=self._limits_to_tell(now, part),
+            notices=self._notices_to_tell(now, part),
         )
 
-    def _limits_to_tell(self, now: float, part: int) -> tuple[ToldLimit, ...]:
+    def _notices_to_tell(self, now: float, part: int) -> ToldNotices:
         """Return what servers said; the first part of a sum has it, and speakers pass it on."""
-        if self._limits is None or part > 0:
-            return ()
-        return self._limits.to_tell(self.groups.is_speaker, now)
+        if self._notices is None or part > 0:
+            return NOTHING_SAID
+        return self._notices.notices_to_tell(self.groups.is_speaker, now)
 
     def _send(self, news: News, entries: list[EntryRecord]) -> None:
         self._sender.send(news, [(entry.host, entry.news_port) for entry in entries])
--- a/briarspur/gateway/loadview.py
+++ b/briarspur/gateway/loadview.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from briarspur.gateway.replica import Kind
-from briarspur.gateway.servernotice import ToldLimit
+from briarspur.gateway.servernotice import NOTHING_SAID, ToldNotices
 from briarspur.gateway.target import Target
 
 __all__ = [
@@ -83,8 +83,8 @@
         Seconds since the store confirmed them.
     seen : SeenEntries
         Entries that were heard lately.
-    limits : tuple of ToldLimit
-        What backend servers said lately that they take.
+    notices : ToldNotices
+        What backend servers said of themselves.
     """
 
     entry_id: str
@@ -100,14 +100,14 @@
     parts: int = 1
     included: Mapping[int, int] = field(default_factory=dict)
     seen: SeenEntries = SeenEntries()
-    limits: tuple[ToldLimit, ...] = ()
+    notices: ToldNotices = NOTHING_SAID
 
     def delayed(self, seconds: float) -> "News":
         """Return the same news as they are after some time on the way."""
         return replace(
             self,
             store_age=self.store_age + seconds,
-            limits=tuple(replace(limit, age=limit.age + seconds) for limit in self.limits),
+            notices=self.notices.delayed(seconds),
         )
 
     def is_later_than(self, source: "Source") -> bool:
--- a/briarspur/gateway/news.py
+++ b/briarspur/gateway/news.py
@@ -12,7 +12,7 @@
 from briarspur.gateway.loadview import News, SeenEntries
 from briarspur.gateway.newsdelay import NewsDelays, sending_clock
 from briarspur.gateway.replica import FOLLOWED, Kind
-from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
+from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit, ToldNotices
 
 __all__ = ["NewsPort", "news_from_wire", "news_to_wire"]
 
@@ -93,10 +93,11 @@
         parts=news.parts,
         included=list(news.included.keys()),
         included_sequences=list(news.included.values()),
-        limited=[limit.number for limit in news.limits],
-        limits_milli=[_limit_to_wire(limit.per_s) for limit in news.limits],
-        limit_ages=_ages_to_wire(limit.age for limit in news.limits),
-        limits_held=_ages_to_wire(limit.held for limit in news.limits),
+        limited=[limit.number for limit in news.notices.limits],
+        limits_milli=[_limit_to_wire(limit.per_s) for limit in news.notices.limits],
+        limit_ages=_ages_to_wire(limit.age for limit in news.notices.limits),
+        limits_held=_ages_to_wire(limit.held for limit in news.notices.limits),
+        leaving_targets=news.notices.leaving,
     )
     return message.SerializeToString()
 
@@ -144,9 +145,12 @@
             tuple(age * AGE_STEP for age in message.seen_ages),
             frozenset(message.leaving_seen),
         ),
-        limits=tuple(
-            ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP, held * AGE_STEP)
-            for number, milli, age, held in limits
+        notices=ToldNotices(
+            tuple(
+                ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP, held * AGE_STEP)
+                for number, milli, age, held in limits
+            ),
+            tuple(message.leaving_targets),
         ),
     )
     return news, message.sent_ms / MS
--- a/briarspur/gateway/servernotice.py
+++ b/briarspur/gateway/servernotice.py
@@ -1,9 +1,9 @@
 """What a backend server says of itself in an answer."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-__all__ = ["NO_LIMIT", "ServerNotice", "ToldLimit"]
+__all__ = ["NOTHING_SAID", "NO_LIMIT", "ServerNotice", "ToldLimit", "ToldNotices"]
 
 NO_LIMIT = math.inf
 """Requests per second of a server that names no limit."""
@@ -49,3 +49,27 @@
     per_s: float
     age: float
     held: float
+
+
+@dataclass(frozen=True, slots=True)
+class ToldNotices:
+    """What servers said of themselves, as one entry tells it to another.
+
+    Attributes
+    ----------
+    limits : tuple of ToldLimit
+        What they said lately that they take.
+    leaving : tuple of int
+        Those that said lately that they leave, by number.
+    """
+
+    limits: tuple[ToldLimit, ...] = ()
+    leaving: tuple[int, ...] = ()
+
+    def delayed(self, seconds: float) -> "ToldNotices":
+        """Return the same as it is after some time on the way."""
+        limits = (replace(limit, age=limit.age + seconds) for limit in self.limits)
+        return ToldNotices(tuple(limits), self.leaving)
+
+
+NOTHING_SAID = ToldNotices()
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -18,7 +18,7 @@
 from briarspur.gateway.quotas import Quotas
 from briarspur.gateway.retrybudget import RetryBudget
 from briarspur.gateway.serverlimits import ServerLimits
-from briarspur.gateway.servernotice import ServerNotice
+from briarspur.gateway.servernotice import ServerNotice, ToldNotices
 from briarspur.gateway.target import Target
 from briarspur.gateway.targettable import TargetTable
 from briarspur.gateway.transit import TransitTimes
@@ -198,10 +198,19 @@
         if notice.limit_per_s is not None:
             self.limits.answered(target, notice.limit_per_s, now)
         if notice.leaving:
-            self.targets.leaves(target, FROM_ANSWER)
+            self.targets.leaves(target, FROM_ANSWER, now)
         if notice.rest > 0.0:
             self._rests(target, notice.rest, now)
 
+    def take_notices(self, notices: ToldNotices, now: float) -> None:
+        """Take what servers said to other entries."""
+        self.limits.told(notices.limits, now)
+        self.targets.told_leaving(notices.leaving, now)
+
+    def notices_to_tell(self, relays: bool, now: float) -> ToldNotices:
+        """Return what servers said, for the other entries; if it relays, what others told, too."""
+        return ToldNotices(self.limits.to_tell(relays, now), self.targets.leaving_to_tell(now))
+
     def overdue(self, attempt: Attempt, now: float) -> None:
         """Note that an attempt takes far longer than expected."""
         ratio = (now - attempt.started) / max(attempt.expected, SHORTEST_TRY)
--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -14,6 +14,13 @@
 """Seconds for which a zone's servers count as cold after its evacuation ended, unless their own
 registrations, written every 1 to 2 s, have said otherwise by then."""
 
+LEAVING_TOLD_FOR = 3.0
+"""Seconds for which each entry that hears of a leaving server tells the others. Whoever misses all
+news of this time hears it from the store or from the server itself."""
+MOST_LEAVING_TOLD = 40
+"""Leaving servers in one message, the latest ones; 160 bytes."""
+FROM_ENTRY = "entry"
+
 
 class TargetTable:
     """Incarnations of backend servers, from their registrations and the evacuated zones.
@@ -36,6 +43,7 @@
         self.by_number: dict[int, Target] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.epoch = 0
+        self._left_at: dict[int, float] = {}
         self.on_new: Callable[[Target], None] = lambda target: None
 
     def __len__(self) -> int:
@@ -90,11 +98,16 @@
             logs.event("target-gone", target=target.registration.target_id, reason="421")
             self._rebuild()
 
-    def leaves(self, target: Target, way: str) -> None:
-        """Take a server's own word that it leaves, and how it came here."""
+    def leaves(self, target: Target, way: str, now: float) -> None:
+        """Take a server's own word that it leaves, and how it came here.
+
+        It holds for this incarnation, whatever an older registration says.
+        """
         if target.leaving:
             return
         target.leaving = True
+        self._left_at[target.number] = now
+        self._rebuild()
         if not target.registration.draining:
             logs.event(
                 "target-departed",
@@ -148,9 +161,25 @@
         if until:
             target.cold_until = max(target.cold_until, until)
 
+    def told_leaving(self, numbers: Iterable[int], now: float) -> None:
+        """Take which servers another entry knows to leave."""
+        for number in numbers:
+            target = self.by_number.get(number)
+            if target is not None:
+                self.leaves(target, FROM_ENTRY, now)
+
+    def leaving_to_tell(self, now: float) -> tuple[int, ...]:
+        """Return the servers that are lately known to leave, for the other entries."""
+        for number, at in list(self._left_at.items()):
+            if now - at > LEAVING_TOLD_FOR:
+                del self._left_at[number]
+        return tuple(self._left_at)[-MOST_LEAVING_TOLD:]
+
     def _is_open(self, target: Target) -> bool:
         registration = target.registration
-        return not (target.gone or registration.draining or registration.zone in self.evacuated)
+        if target.gone or target.leaving or registration.draining:
+            return False
+        return registration.zone not in self.evacuated
 
     def _rebuild(self) -> None:
         by_service: dict[str, list[Target]] = defaultdict(list)
--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -141,7 +141,7 @@
             lambda: 0.0,
             self.steering.uses,
             self.steering.quotas.worth_telling,
-            self.steering.limits,
+            self.steering,
         )
 
     def counts(self) -> Counter[int]:
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -9,7 +9,7 @@
 from briarspur.gateway.loadview import News, SeenEntries
 from briarspur.gateway.news import AGE_STEP, NewsPort, news_from_wire, news_to_wire
 from briarspur.gateway.replica import Kind
-from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
+from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit, ToldNotices
 
 NUMBER = st.integers(0, 2**32 - 1)
 SEQUENCE = st.integers(1, 2**31)
@@ -46,10 +46,12 @@
         for told, age in zip((0.5, 0.0, 255 * AGE_STEP), read.ages, strict=True):
             self.assertAlmostEqual(told, age)
 
-    def test_limits_of_servers_are_told_with_their_ages(self) -> None:
+    def test_what_servers_say_is_told_with_its_age(self) -> None:
         limits = (ToldLimit(1, 1.7, 0.1, 0.5), ToldLimit(2, NO_LIMIT, 0.0, 99.0))
-        sent = News("e-1", 1, 1, False, {}, limits=limits)
-        read = news_from_wire(news_to_wire(sent, 1.0))[0].delayed(0.2).limits
+        sent = News("e-1", 1, 1, False, {}, notices=ToldNotices(limits, (7, 9)))
+        notices = news_from_wire(news_to_wire(sent, 1.0))[0].delayed(0.2).notices
+        self.assertEqual((7, 9), notices.leaving)
+        read = notices.limits
         self.assertEqual([(1, 1.7), (2, NO_LIMIT)], [(item.number, item.per_s) for item in read])
         for told, age in zip((0.3, 0.2), (item.age for item in read), strict=True):
             self.assertAlmostEqual(told, age)
