Leave a server alone for the rest that it asks for

What callers saw: requests turned away twice, by servers that had asked the entry for 3 s of rest and got three requests from it within (two are allowed); 503 where another server had room.

Its rejections made it dearer, but objects that were warm there drew requests there again, the first attempts too.

Now an entry sends such a server nothing until the rest ends; of several rests the latest end counts. The choice of a server asks, and once more a request whose connection had to be made. An object that is warm there counts as warm nowhere meanwhile, so that it finds another server under load, too. A rest costs neither the pause of a failed server nor retry budget, and the server is used again when it ends. Where all servers of a service rest, callers are refused at once with the time of the first that is free.

--- a/briarspur/gateway/chooser.py
+++ b/briarspur/gateway/chooser.py
@@ -135,7 +135,9 @@
             return self._best(wish, [Ranked(target, 0.0) for target in targets], now)
         span = self._span(wish)
         warm = [
-            target for target in targets if wish.key in target.warmth and target not in wish.full
+            target
+            for target in targets
+            if wish.key in target.warmth and target not in wish.full and not target.rests(now)
         ]
         best = self._undoubtedly_warm(wish, warm, now)
         if best is None:
@@ -326,7 +328,7 @@
         return len(target.warmth) < NEWCOMER_SHARE * mean_objects(targets)
 
     def _usable(self, target: Target, now: float) -> bool:
-        if not target.breaker.allows(now):
+        if target.rests(now) or not target.breaker.allows(now):
             return False
         if target.cold_until > now:
             bucket = target.cold_rate
--- a/briarspur/gateway/sending.py
+++ b/briarspur/gateway/sending.py
@@ -146,10 +146,11 @@
         if self.ended:
             connection.abort()
             return
-        # The server may have left, or its zone been evacuated, while the connection was made. Its
-        # 0.5 s would add to the time in which the departure became known: a request chosen just
-        # before would reach the server later than its operators were promised.
-        if not self._services.steering.targets.takes_work(self.attempt.target):
+        # The server may have left or asked for rest, or its zone been evacuated, while the
+        # connection was made. Its 0.5 s would add to the time in which that became known: a request
+        # chosen just before would reach the server later than its operators were promised.
+        now = self._services.clock.seconds()
+        if not self._services.steering.targets.takes_work(self.attempt.target, now):
             connection.abort()
             self._end(Outcome.DEPARTED, "")
             return
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -171,16 +171,18 @@
         if choice is None:
             suspected = sum(target.breaker.suspected(now) for target in targets)
             limited = self.limits.limited(targets)
+            resting = sum(target.rests(now) for target in targets)
             detail = (
-                f"none of {len(targets)} targets in time, {suspected} suspected, {limited} limited"
+                f"none of {len(targets)} targets in time, {suspected} suspected, "
+                f"{limited} limited, {resting} resting"
             )
-            return Refused(Code.OVERLOADED, self._retry_after(work), detail)
+            return Refused(Code.OVERLOADED, self._retry_after(work, now), detail)
         if choice.finish > work.deadline - now:
             detail = (
                 f"best of {len(targets)} targets would wait {choice.wait:.3f} s and work "
                 f"{choice.work:.3f} s, {work.deadline - now:.3f} s left"
             )
-            return Refused(Code.OVERLOADED, self._retry_after(work), detail)
+            return Refused(Code.OVERLOADED, self._retry_after(work, now), detail)
         return self._send(work, choice, now)
 
     def hedge(self, work: Work, now: float) -> Attempt | None:
@@ -258,9 +260,15 @@
             return None
         if outcome not in UNSENT:
             if work.sent >= work.route.attempts:
-                return Refused(Code.ATTEMPTS_SPENT, self._retry_after(work)) if proven else None
+                return (
+                    Refused(Code.ATTEMPTS_SPENT, self._retry_after(work, now)) if proven else None
+                )
             if not self._budget(work.service).take(now, self.fleet_size):
-                return Refused(Code.RETRY_BUDGET_SPENT, self._retry_after(work)) if proven else None
+                return (
+                    Refused(Code.RETRY_BUDGET_SPENT, self._retry_after(work, now))
+                    if proven
+                    else None
+                )
         attempt = self.next_attempt(work, now)
         if isinstance(attempt, Refused) and not proven:
             return None
@@ -364,8 +372,15 @@
                     now,
                 )
 
-    def _retry_after(self, work: Work) -> float:
-        """Return when a slot of the service may be free: one mean working time from now."""
+    def _retry_after(self, work: Work, now: float) -> float:
+        """Return when a slot of the service may be free: one mean working time from now.
+
+        Where all servers rest it is when the first of them takes requests again.
+        """
+        targets = self.targets.in_regions(work.service, work.regions or frozenset())
+        free_at = min((target.rest_until for target in targets), default=now)
+        if free_at > now:
+            return free_at - now
         mean = self.times.service_mean(work.service, work.route.goal)
         return min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, mean))
 
--- a/briarspur/gateway/target.py
+++ b/briarspur/gateway/target.py
@@ -89,6 +89,10 @@
         self._speed_at = now
         self._trouble_at = now
 
+    def rests(self, now: float) -> bool:
+        """Return whether it wants nothing from this entry now."""
+        return self.rest_until > now
+
     @property
     def load(self) -> int:
         """Requests of all entries that it has, as far as known."""
--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -64,9 +64,10 @@
             self._by_regions[service, regions] = found
         return found
 
-    def takes_work(self, target: Target) -> bool:
+    def takes_work(self, target: Target, now: float) -> bool:
         """Return whether this incarnation of a target is still there and may be sent requests."""
-        return self._by_id.get(target.registration.target_id) is target and self._is_open(target)
+        current = self._by_id.get(target.registration.target_id)
+        return current is target and self._is_open(target) and not target.rests(now)
 
     def registered(self, registration: Registration, now: float) -> None:
         """Take a registration; a new ``born`` voids all that was known of the target."""
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -13,6 +13,7 @@
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.pool import ConnectionPool
 from briarspur.gateway.sending import IncomingRequest, Services
+from briarspur.gateway.servernotice import ServerNotice
 from briarspur.gateway.steering import Steering
 from briarspur.gateway.work import Attempt, Refused, Work
 from briarspur.heldrequest import Flow
@@ -199,6 +200,19 @@
         self.play([answers, answers], check)
         self.play([answers, answers], check, path="/book/1")
 
+    def test_a_server_that_asks_for_rest_while_the_connection_is_made_gets_nothing(self) -> None:
+        """Guards against requests that were chosen just before and wait for their connection."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            steering = exchange._services.steering
+            now = the_reactor().seconds()
+            steering.noticed(exchange.work.tried[0], ServerNotice(rest=5.0), now)
+            await eventually(lambda: caller.over)
+            self.assertEqual([Outcome.DEPARTED, Outcome.ANSWERED], caller.outcomes)
+            self.assertEqual([0, 1], [len(backend.heads) for backend in backends])
+
+        self.play([answers, answers], check)
+
     def test_a_booking_whose_connection_breaks_is_not_sent_again(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             await eventually(lambda: caller.over)
--- a/tests/gateway/test_server_rest.py
+++ b/tests/gateway/test_server_rest.py
@@ -2,7 +2,12 @@
 
 import unittest
 
+from briarspur.codes import Code
+from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.servernotice import ServerNotice
+from briarspur.gateway.work import Attempt, Refused
 from tests.gateway.noticefleet import NoticeFleet
+from tests.gateway.samples import begun, sent, steering
 
 MOST_IN_REST = 2
 
@@ -21,3 +26,46 @@
                 self.assertTrue(server.asked_at)
                 self.assertLessEqual(server.most_in_rest(), MOST_IN_REST, server.name)
                 self.assertGreater(server.rate(17.0, 20.0), 0.5, "used again after its rest")
+
+
+class RestTest(unittest.TestCase):
+    """What one entry does with a rest that it was asked for."""
+
+    def test_the_latest_end_of_several_counts(self) -> None:
+        """Guards against a short rest, asked for later, that ends a longer one."""
+        made = steering(1)
+        target = sent(made, begun(made)).target
+        made.noticed(target, ServerNotice(rest=3.0), 1.0)
+        made.noticed(target, ServerNotice(rest=0.5), 1.2)
+        self.assertTrue(target.rests(3.9))
+        self.assertFalse(target.rests(4.0))
+
+    def test_where_all_rest_the_caller_hears_when_the_first_is_free(self) -> None:
+        """Guards against callers that wait, or come back too soon, while no server takes them."""
+        made = steering(2)
+        for target, rest in zip(made.targets.by_service["info"], (3.0, 2.0), strict=True):
+            made.noticed(target, ServerNotice(rest=rest), 1.0)
+        refused = made.next_attempt(begun(made, 1.5), 1.5)
+        assert isinstance(refused, Refused)
+        self.assertIs(Code.OVERLOADED, refused.code)
+        self.assertAlmostEqual(1.5, refused.retry_after or 0.0)
+        self.assertIn("2 resting", refused.detail)
+
+    def test_a_server_is_used_at_once_when_its_rest_ends(self) -> None:
+        """Guards against a rest that also costs the pause of a server that failed."""
+        made = steering(1)
+        attempt = sent(made, begun(made))
+        made.noticed(attempt.target, ServerNotice(rest=2.0), 0.1)
+        made.ended(attempt, Outcome.REJECTED, 0.1)
+        self.assertIsInstance(made.next_attempt(begun(made, 2.05), 2.05), Refused)
+        self.assertIsInstance(made.next_attempt(begun(made, 2.2), 2.2), Attempt)
+
+    def test_a_rejected_request_goes_to_another_server(self) -> None:
+        made = steering(2)
+        work = begun(made)
+        first = sent(made, work)
+        made.noticed(first.target, ServerNotice(rest=2.0), 0.1)
+        made.ended(first, Outcome.REJECTED, 0.1)
+        again = made.retry(work, Outcome.REJECTED, 0.1)
+        assert isinstance(again, Attempt)
+        self.assertIsNot(first.target, again.target)
