--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -37,6 +37,8 @@
     work_s: float = 0.05
     draining: bool = False
     limit_per_s: float | None = None
+    leaving: bool = False
+    rest_s: float = 0.0
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     sequence: int = 0
     isLeaf = True  # noqa: N815
@@ -50,6 +52,8 @@
         """Take what a settings file says of the server and may change."""
         self.draining = item["draining"]
         self.limit_per_s = item.get("limit_per_s")
+        self.leaving = item.get("leaving", False)
+        self.rest_s = item.get("rest_s", 0.0)
 
     def spec(self) -> dict[str, Any]:
         """Return the registration."""
@@ -72,8 +76,11 @@
         expected = request.getHeader(b"x-expected-instance")
         if expected is not None and expected != self.target_id.encode():
             _answer(request, 421, {b"X-Instance-Id": self.target_id.encode()})
+        elif self.rest_s > 0.0:
+            self._note("rest", request)
+            self._turn_away(request, {b"Retry-After": b"%.2f" % self.rest_s})
         elif len(self._queue) >= QUEUE_SHARE * self.slots:
-            _answer(request, 503, {b"X-Not-Executed": b"1", **self._notices()})
+            self._turn_away(request, {})
         else:
             request.notifyFinish().addBoth(self._gone, request)
             self._queue.append(request)
@@ -92,11 +99,17 @@
         self.ledger.write(json.dumps(row) + "\n")
         self.ledger.flush()
 
+    def _turn_away(self, request: Request, headers: dict[bytes, bytes]) -> None:
+        _answer(request, 503, {b"X-Not-Executed": b"1", **self._notices(), **headers})
+
     def _notices(self) -> dict[bytes, bytes]:
         """Return what the server says of itself in an answer."""
-        if self.limit_per_s is None:
-            return {}
-        return {b"Server-Limit": b"%.2f" % self.limit_per_s}
+        notices = {}
+        if self.limit_per_s is not None:
+            notices[b"Server-Limit"] = b"%.2f" % self.limit_per_s
+        if self.leaving:
+            notices[b"Server-Leaving"] = b"1"
+        return notices
 
     def _done(self, request: Request) -> None:
         self._running.pop(request, None)
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from tools.faultsoak import FaultSoak
-from tools.soaknotices import Limited
+from tools.soaknotices import Left, Limited
 from tools.soakparts import Seen
 
 KEPT_SEEDS: tuple[tuple[int, str], ...] = ((1, "the short run of CI; it has found nothing so far"),)
@@ -67,3 +67,21 @@
             self.assertIn("fast named a limit of 1.0 a second and got 40", found[0])
             notices._harms["g0"].append(103.0)
             self.assertEqual([], list(notices.judge(soak.seen)))
+
+    def test_the_judge_sees_requests_at_a_server_that_leaves_or_rests(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            soak = FaultSoak(1, 1.0, 1, Path(folder))
+            soak.seen = [Seen(f"r{n}", "/base/again/", False, "g0", 0.0) for n in range(8)]
+            rows = [
+                {"what": what, "id": f"r{n}", "target": "t", "at": 100.0 + n * 0.6}
+                for n in range(8)
+                for what in ("arrival", "rest")
+            ]
+            ledger = Path(folder) / "targets0.runs"
+            ledger.write_text("".join(json.dumps(row) + "\n" for row in rows))
+            notices = soak._notices
+            notices._left = [Left("t", "targets0", 99.0)]
+            self.assertIn("t leaves and got r6 from g0", list(notices.judge(soak.seen)))
+            notices._left, notices._rested = [], [("t", 3.0)]
+            found = list(notices.judge(soak.seen))
+            self.assertEqual("t asked g0 for rest and got 4 requests in it", found[0])
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -119,6 +119,8 @@
             self._drain,
             self._change,
             self._notices.limit,
+            self._notices.leave,
+            self._notices.rest,
         ]
         running: list[asyncio.Future[None]] = []
         while time.time() < until:
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -21,7 +21,7 @@
 ATTEMPT_S = 3.0
 STORE_CALL_S = 2.0
 ONCE, REPEAT = "once", "again"
-RUN, ARRIVAL = "run", "arrival"
+RUN, ARRIVAL, REST = "run", "arrival", "rest"
 """What a line of a target's ledger tells."""
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -118,7 +118,14 @@
 
     def arrivals(self, target_id: str) -> list[dict[str, Any]]:
         """Return the requests that reached a target, those included that it turned away."""
-        rows = [row for row in self._rows(ARRIVAL) if row["target"] == target_id]
+        return self._of_target(ARRIVAL, target_id)
+
+    def rests(self, target_id: str) -> list[dict[str, Any]]:
+        """Return the requests that a target turned away and answered with a rest."""
+        return self._of_target(REST, target_id)
+
+    def _of_target(self, what: str, target_id: str) -> list[dict[str, Any]]:
+        rows = [row for row in self._rows(what) if row["target"] == target_id]
         return sorted(rows, key=itemgetter("at"))
 
     def _rows(self, what: str) -> Iterator[dict[str, Any]]:
