--- a/briarspur/gateway/outcome.py
+++ b/briarspur/gateway/outcome.py
@@ -21,6 +21,6 @@
 
 
 UNSENT = frozenset({Outcome.NOT_SENT, Outcome.DEPARTED})
-"""No byte of the request left: there was no connection, or the server left meanwhile."""
+"""No byte of the request left: there was no connection, or the server took no work any more."""
 NOT_RUN = UNSENT | {Outcome.REJECTED, Outcome.MISDIRECTED}
 """No connection took the request, or the server itself said that it did not run it."""
--- a/briarspur/gateway/quota.py
+++ b/briarspur/gateway/quota.py
@@ -124,6 +124,13 @@
         """Count a request as admitted."""
         self._admitted.append(now)
 
+    def heard(self, change: int, asked: bool) -> None:
+        """Take a change of what the others admitted, or of what they were asked for."""
+        if asked:
+            self.asked_elsewhere = max(0, self.asked_elsewhere + change)
+        else:
+            self.elsewhere = max(0, self.elsewhere + change)
+
     def not_run(self) -> None:
         """Take back a request that was admitted."""
         if self._admitted:
--- a/briarspur/gateway/quotas.py
+++ b/briarspur/gateway/quotas.py
@@ -150,13 +150,8 @@
     def heard(self, number: int, change: int) -> None:
         """Take a change of what the others admitted or were asked for."""
         limited = self._limited_by_number.get(number)
-        if limited is None:
-            return
-        use = limited.use
-        if number == limited.admitted_number:
-            use.elsewhere = max(0, use.elsewhere + change)
-        else:
-            use.asked_elsewhere = max(0, use.asked_elsewhere + change)
+        if limited is not None:
+            limited.use.heard(change, asked=number == limited.asked_number)
 
     def worth_telling(self, total: Mapping[int, int]) -> Counter[int]:
         """Return the counts of all entries without those of customers far below their limits."""
--- a/briarspur/gateway/serverlimits.py
+++ b/briarspur/gateway/serverlimits.py
@@ -14,7 +14,7 @@
 from briarspur import logs
 from briarspur.gateway.quota import HORIZON, Quota, SharedUse
 from briarspur.gateway.ratehistory import RateHistory
-from briarspur.gateway.servernotice import NO_LIMIT, ToldLimit
+from briarspur.gateway.servernotice import FROM_ANSWER, FROM_ENTRY, NO_LIMIT, ToldLimit
 from briarspur.gateway.target import Target
 
 __all__ = ["ServerLimits"]
@@ -34,8 +34,6 @@
 """Seconds for which it is remembered that a limit was lifted, so that all entries are told."""
 MOST_TOLD = 40
 """Limits in one message: some 360 bytes; the latest ones go first."""
-FROM_ANSWER = "answer"
-FROM_ENTRY = "entry"
 DRAWS = 1 << 32
 
 
@@ -50,7 +48,7 @@
     said_at : float
         When the latest answer came that says so, on this entry's clock in seconds.
     since : float
-        When the server began to name limits, on this entry's clock in seconds.
+        When the server began to name limits, or named none any more, on that clock.
     own : bool
         That answer came here; else another entry told of it.
     sent_number, asked_number : int
@@ -143,7 +141,7 @@
     def forget(self, now: float) -> None:
         """Drop what is known of servers that are gone, and limits that ended a while ago."""
         for number, limit in list(self._by_number.items()):
-            lifted = limit.per_s == NO_LIMIT and now - limit.said_at > LIFTED_KEPT
+            lifted = limit.per_s == NO_LIMIT and now - limit.since > LIFTED_KEPT
             if lifted or self._targets.get(number) is not limit.target:
                 del self._by_number[number]
                 del self._by_count[limit.sent_number]
@@ -189,13 +187,8 @@
     def heard(self, number: int, change: int) -> None:
         """Take a change of what the others sent or would have sent."""
         limit = self._by_count.get(number)
-        if limit is None:
-            return
-        use = limit.use
-        if number == limit.sent_number:
-            use.elsewhere = max(0, use.elsewhere + change)
-        else:
-            use.asked_elsewhere = max(0, use.asked_elsewhere + change)
+        if limit is not None:
+            limit.use.heard(change, asked=number == limit.asked_number)
 
     # Parts
 
@@ -226,11 +219,13 @@
         limit.said_at, limit.own = said_at, source is FROM_ANSWER
         if per_s == limit.per_s:
             return
-        if limit.per_s < NO_LIMIT:
-            limit.history.change(per_s, now)
-        else:
+        if per_s == NO_LIMIT:
+            limit.since = since
+        elif limit.per_s == NO_LIMIT:
             limit.since = since
             limit.history.begin(per_s, since)
+        else:
+            limit.history.change(per_s, now)
         limit.per_s = per_s
         logs.event(
             "target-limit",
--- a/briarspur/gateway/servernotice.py
+++ b/briarspur/gateway/servernotice.py
@@ -3,10 +3,21 @@
 import math
 from dataclasses import dataclass, replace
 
-__all__ = ["NOTHING_SAID", "NO_LIMIT", "ServerNotice", "ToldLimit", "ToldNotices"]
+__all__ = [
+    "FROM_ANSWER",
+    "FROM_ENTRY",
+    "NOTHING_SAID",
+    "NO_LIMIT",
+    "ServerNotice",
+    "ToldLimit",
+    "ToldNotices",
+]
 
 NO_LIMIT = math.inf
 """Requests per second of a server that names no limit."""
+FROM_ANSWER = "answer"
+FROM_ENTRY = "entry"
+"""Who told what a server says: an answer of its own, or another entry."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from briarspur import logs
 from briarspur.codes import Code
 from briarspur.gateway.authorization import Authorization
 from briarspur.gateway.chooser import Choice, Chooser, Wish
@@ -18,7 +17,7 @@
 from briarspur.gateway.quotas import Quotas
 from briarspur.gateway.retrybudget import RetryBudget
 from briarspur.gateway.serverlimits import ServerLimits
-from briarspur.gateway.servernotice import ServerNotice, ToldNotices
+from briarspur.gateway.servernotice import FROM_ANSWER, ServerNotice, ToldNotices
 from briarspur.gateway.target import Target
 from briarspur.gateway.targettable import TargetTable
 from briarspur.gateway.transit import TransitTimes
@@ -40,8 +39,6 @@
 
 HEDGE_SHARE = 0.5
 """Part of the retry budget that these may use; the rest is left for requests that failed."""
-FROM_ANSWER = "answer"
-"""How a departure is learnt that the server itself told."""
 MOST_LOOKS = 8
 """Servers without room within their limits that are looked at for one request, at most."""
 
@@ -202,7 +199,7 @@
         if notice.leaving:
             self.targets.leaves(target, FROM_ANSWER, now)
         if notice.rest > 0.0:
-            self._rests(target, notice.rest, now)
+            self.targets.rests(target, notice.rest, now)
 
     def take_notices(self, notices: ToldNotices, now: float) -> None:
         """Take what servers said to other entries."""
@@ -259,16 +256,9 @@
         if not proven and not work.route.repeatable:
             return None
         if outcome not in UNSENT:
-            if work.sent >= work.route.attempts:
-                return (
-                    Refused(Code.ATTEMPTS_SPENT, self._retry_after(work, now)) if proven else None
-                )
-            if not self._budget(work.service).take(now, self.fleet_size):
-                return (
-                    Refused(Code.RETRY_BUDGET_SPENT, self._retry_after(work, now))
-                    if proven
-                    else None
-                )
+            spent = self._spent(work, now)
+            if spent is not None:
+                return Refused(spent, self._retry_after(work, now)) if proven else None
         attempt = self.next_attempt(work, now)
         if isinstance(attempt, Refused) and not proven:
             return None
@@ -276,14 +266,6 @@
 
     # Parts
 
-    def _rests(self, target: Target, seconds: float, now: float) -> None:
-        """Take a rest that a server asks for; of several the latest end counts."""
-        end = now + seconds
-        if end <= target.rest_until:
-            return
-        target.rest_until = end
-        logs.event("target-rest", target=target.registration.target_id, seconds=f"{seconds:.3f}")
-
     def _choose(
         self, work: Work, regions: frozenset[str], targets: list[Target], now: float
     ) -> Choice | None:
@@ -297,6 +279,14 @@
             full.append(choice.target)
         return None
 
+    def _spent(self, work: Work, now: float) -> Code | None:
+        """Take one retry; return what forbids it, None if it is allowed."""
+        if work.sent >= work.route.attempts:
+            return Code.ATTEMPTS_SPENT
+        if not self._budget(work.service).take(now, self.fleet_size):
+            return Code.RETRY_BUDGET_SPENT
+        return None
+
     def _count_changed(self, number: int, change: int) -> None:
         self.quotas.heard(number, change)
         self.limits.heard(number, change)
--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -6,6 +6,7 @@
 
 from briarspur import logs
 from briarspur.gateway.registration import Registration
+from briarspur.gateway.servernotice import FROM_ENTRY
 from briarspur.gateway.target import Target
 
 __all__ = ["TargetTable"]
@@ -19,7 +20,6 @@
 news of this time hears it from the store or from the server itself."""
 MOST_LEAVING_TOLD = 40
 """Leaving servers in one message, the latest ones; 160 bytes."""
-FROM_ENTRY = "entry"
 
 
 class TargetTable:
@@ -162,6 +162,13 @@
         if until:
             target.cold_until = max(target.cold_until, until)
 
+    def rests(self, target: Target, seconds: float, now: float) -> None:
+        """Take a rest that a server asks this entry for; of several the latest end counts."""
+        if now + seconds <= target.rest_until:
+            return
+        target.rest_until = now + seconds
+        logs.event("target-rest", target=target.registration.target_id, seconds=f"{seconds:.3f}")
+
     def told_leaving(self, numbers: Iterable[int], now: float) -> None:
         """Take which servers another entry knows to leave."""
         for number in numbers:
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -118,6 +118,16 @@
         self.limits.told([ToldLimit(self.target.number, NO_LIMIT, 0.1, 0.1)], 11.5)
         self.assertEqual(0, self.limited())
 
+    def test_the_end_of_a_limit_is_told_for_a_while_only(self) -> None:
+        """Guards against news that grow with every server that ever named a limit."""
+        self.limits.answered(self.target, 2.0, 1.0)
+        for step in range(80):
+            self.limits.answered(self.target, NO_LIMIT, 2.0 + step * 0.1)
+        self.limits.forget(4.0)
+        self.assertEqual(1, len(self.limits.to_tell(False, 4.0)))
+        self.limits.forget(9.9)
+        self.assertEqual((), self.limits.to_tell(False, 9.9))
+
     def test_a_new_incarnation_has_no_limit(self) -> None:
         self.limits.answered(self.target, 2.0, 1.0)
         self.steering.targets.registered(registration("t-0", born=2), 2.0)
