Pass a limit on by two entries at most

Each hop of news makes a limit seem younger by the way it took. With news up to a second late, whose delay is not known, 27 entries in groups handed a limit round for ever after it had ended, as long as no answer came: each took it for later than what it knew. Callers saw nothing, since the first answer ends it, but an entry may refuse a few requests until then, and the news never ended.

Now a limit carries how many entries have passed it on, and only the speakers on its way do. Found by a play of late news; the test fails without the mend. Where delays are known, as the news port finds them out, all entries learn the end even if it comes a second late.

--- a/briarspur/gateway/news.py
+++ b/briarspur/gateway/news.py
@@ -97,6 +97,7 @@
         limits_milli=[_limit_to_wire(limit.per_s) for limit in news.notices.limits],
         limit_ages=_ages_to_wire(limit.age for limit in news.notices.limits),
         limits_held=_ages_to_wire(limit.held for limit in news.notices.limits),
+        limit_hops=bytes(limit.hops for limit in news.notices.limits),
         leaving_targets=news.notices.leaving,
     )
     return message.SerializeToString()
@@ -125,6 +126,7 @@
         message.limits_milli,
         message.limit_ages,
         message.limits_held,
+        message.limit_hops,
         strict=True,
     )
     news = News(
@@ -147,8 +149,8 @@
         ),
         notices=ToldNotices(
             tuple(
-                ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP, held * AGE_STEP)
-                for number, milli, age, held in limits
+                ToldLimit(number, _limit_from_wire(milli), age * AGE_STEP, held * AGE_STEP, hops)
+                for number, milli, age, held, hops in limits
             ),
             tuple(message.leaving_targets),
         ),
--- a/briarspur/gateway/serverlimits.py
+++ b/briarspur/gateway/serverlimits.py
@@ -30,6 +30,9 @@
 TOLD_MARGIN = 0.1
 """Seconds by which what another entry says must be later than what is known. What it says seems
 later by the way of its news."""
+MOST_HOPS = 2
+"""Entries that pass a limit on at most: a member's speaker and another group's. Each hop makes it
+seem younger by the way of its news; without a bound, entries would hand it round for ever."""
 LIFTED_KEPT = 5.0
 """Seconds for which it is remembered that a limit was lifted, so that all entries are told."""
 MOST_TOLD = 40
@@ -49,8 +52,8 @@
         When the latest answer came that says so, on this entry's clock in seconds.
     since : float
         When the server began to name limits, or named none any more, on that clock.
-    own : bool
-        That answer came here; else another entry told of it.
+    hops : int
+        Entries that it came through; 0 if the answer came here.
     sent_number, asked_number : int
         What entries call the counts of requests that were sent and that would have been.
     """
@@ -59,7 +62,7 @@
     per_s: float
     said_at: float
     since: float
-    own: bool
+    hops: int
     sent_number: int
     asked_number: int
     use: SharedUse = field(default_factory=lambda: SharedUse(share=0.0))
@@ -99,7 +102,7 @@
 
     def answered(self, target: Target, per_s: float, now: float) -> None:
         """Take the limit of an answer that came at this entry; :data:`NO_LIMIT` for none."""
-        self._take(target, per_s, now, now, now, FROM_ANSWER)
+        self._take(target, ToldLimit(target.number, per_s, 0.0, 0.0), 0, now)
 
     def told(self, told: Iterable[ToldLimit], now: float) -> None:
         """Take what another entry says, unless something later is known."""
@@ -107,10 +110,9 @@
             target = self._targets.get(item.number)
             if target is None:
                 continue
-            said_at = now - item.age
             limit = self._by_number.get(item.number)
-            if limit is None or said_at > limit.said_at + TOLD_MARGIN:
-                self._take(target, item.per_s, said_at, now - item.held, now, FROM_ENTRY)
+            if limit is None or now - item.age > limit.said_at + TOLD_MARGIN:
+                self._take(target, item, item.hops + 1, now)
 
     def to_tell(self, relays: bool, now: float) -> tuple[ToldLimit, ...]:
         """Return what the other entries are to be told.
@@ -124,12 +126,18 @@
         fresh = [
             limit
             for limit in self._by_number.values()
-            if limit.said_at >= oldest and (limit.own or relays)
+            if limit.said_at >= oldest and limit.hops <= (MOST_HOPS if relays else 0)
         ]
         if len(fresh) > MOST_TOLD:
             fresh = sorted(fresh, key=attrgetter("said_at"), reverse=True)[:MOST_TOLD]
         return tuple(
-            ToldLimit(limit.target.number, limit.per_s, now - limit.said_at, now - limit.since)
+            ToldLimit(
+                number=limit.target.number,
+                per_s=limit.per_s,
+                age=now - limit.said_at,
+                held=now - limit.since,
+                hops=limit.hops,
+            )
             for limit in fresh
         )
 
@@ -201,22 +209,14 @@
         part = self.live / max(self.live, self.recorded)
         return Quota(limit.history.mean(now), limit.per_s * HORIZON, WINDOW).part(part)
 
-    def _take(
-        self,
-        target: Target,
-        per_s: float,
-        said_at: float,
-        since: float,
-        now: float,
-        source: str,
-    ) -> None:
-        per_s = max(LEAST_PER_S, per_s)
+    def _take(self, target: Target, said: ToldLimit, hops: int, now: float) -> None:
+        per_s, said_at, since = max(LEAST_PER_S, said.per_s), now - said.age, now - said.held
         limit = self._by_number.get(target.number)
         if limit is None:
             if per_s == NO_LIMIT:
                 return
             limit = self._new(target, said_at, now)
-        limit.said_at, limit.own = said_at, source is FROM_ANSWER
+        limit.said_at, limit.hops = said_at, hops
         if per_s == limit.per_s:
             return
         if per_s == NO_LIMIT:
@@ -232,14 +232,14 @@
             target=target.registration.target_id,
             service=target.registration.service,
             per_s="none" if per_s == NO_LIMIT else f"{per_s:.2f}",
-            source=source,
-            age_s=f"{now - said_at:.3f}",
+            source=FROM_ENTRY if hops else FROM_ANSWER,
+            age_s=f"{said.age:.3f}",
         )
 
     def _new(self, target: Target, said_at: float, now: float) -> _Limit:
         """Return a limit that counts what the server has of this entry already."""
         sent, asked = _number("sent", target), _number("asked", target)
-        limit = _Limit(target, NO_LIMIT, said_at, said_at, False, sent, asked)
+        limit = _Limit(target, NO_LIMIT, said_at, said_at, 0, sent, asked)
         for _ in range(target.in_flight):
             limit.use.take(now)
         limit.use.elsewhere = self._known(sent)
--- a/briarspur/gateway/servernotice.py
+++ b/briarspur/gateway/servernotice.py
@@ -54,12 +54,15 @@
         Seconds since the answer came that says so.
     held : float
         Seconds for which the server has named limits without a break.
+    hops : int
+        Entries that have passed it on; 0 if the answer came at the one that tells it.
     """
 
     number: int
     per_s: float
     age: float
     held: float
+    hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -157,13 +157,26 @@
     ----------
     loss : float
         Share of the messages between entries that are lost.
+    latest : float
+        Seconds that a message takes at most.
+    knows_delays : bool
+        Entries know how long each message took, as :class:`NewsPort` finds out.
     """
 
     def __init__(
-        self, entries: int, servers: int, zones: int = 6, seed: int = 1, loss: float = 0.0
+        self,
+        entries: int,
+        servers: int,
+        zones: int = 6,
+        seed: int = 1,
+        loss: float = 0.0,
+        latest: float = LATEST_NEWS,
+        knows_delays: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
         self._loss = loss
+        self._latest = latest
+        self._knows_delays = knows_delays
         self.regions_by_zone = {f"z-{n}": f"r-{n % REGIONS}" for n in range(zones)}
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._numbers = itertools.count()
@@ -227,14 +240,27 @@
             key = b"%d" % self._rng.randrange(objects)
             self._arrive(self._rng.choice(names), key, now)
 
+    def telling(self, now: float) -> set[str]:
+        """Return the entries that tell others of a limit."""
+        return {
+            entry_id
+            for entry_id, entry in self.entries_by_name.items()
+            if entry.steering.notices_to_tell(True, now).limits
+        }
+
+    def pause_callers(self, until: float) -> None:
+        """Let time pass without requests."""
+        self._settle(until)
+
     def send(self, news: News, addresses: list[tuple[str, int]]) -> None:
         """Carry news, as :class:`GossipSender`."""
         if news.entry_id in self.cut:
             return
         for host, _ in addresses:
             if host not in self.cut and self._rng.random() >= self._loss:
-                delay = self._rng.uniform(WAYS[0], LATEST_NEWS)
-                self._at(self._now + delay, self._delivery(host, news))
+                delay = self._rng.uniform(WAYS[0], self._latest)
+                known = news.delayed(delay) if self._knows_delays else news
+                self._at(self._now + delay, self._delivery(host, known))
 
     def _delivery(self, host: str, news: News) -> Callable[[float], None]:
         return lambda now: self._hear(host, news, now)
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -70,6 +70,27 @@
             fleet.play(4.0, 10.0, 8.0, callers=["e-0"])
             self.assertEqual(set(), fleet.limiting("t-0"))
 
+    def ended_limit(self, entries: int, zones: int, knows_delays: bool) -> NoticeFleet:
+        """Return a fleet ten seconds after a limit ended, with news up to a second late."""
+        fleet = NoticeFleet(entries, 1, zones, latest=1.0, knows_delays=knows_delays)
+        fleet.name_limits(2.0, [3.0])
+        fleet.name_limits(8.0, [NO_LIMIT])
+        fleet.play(0.0, 8.6, 8.0, callers=["e-0"])
+        fleet.pause_callers(18.0)
+        return fleet
+
+    def test_a_limit_that_has_ended_is_not_handed_round_for_ever(self) -> None:
+        """Guards against entries that take a limit for new each time they hear it again."""
+        for entries, zones in ((10, 6), (27, 3), (89, 9)):
+            fleet = self.ended_limit(entries, zones, knows_delays=False)
+            self.assertEqual(set(), fleet.telling(18.0), entries)
+
+    def test_all_entries_learn_that_a_limit_ended_though_news_are_late(self) -> None:
+        """Guards against a late word of a limit that counts as later than its end."""
+        for entries, zones in ((10, 6), (27, 3), (89, 9)):
+            fleet = self.ended_limit(entries, zones, knows_delays=True)
+            self.assertEqual(set(), fleet.limiting("t-0"), entries)
+
     @FIXED
     @given(
         st.integers(1, 30),
