--- a/briarspur/core.py
+++ b/briarspur/core.py
@@ -259,7 +259,7 @@
             return out
         work, attempt = current
         work.passed = passed
-        self._inflight.failed(work, attempt, failure, crashed, now)
+        self._inflight.failed(work, attempt, failure, crashed, now, retry_after)
         self._pipeline.failed(work, attempt, failure, resumable, retry_after, now, out)
         self._pipeline.run_waiting(now, out)
         return out
--- a/briarspur/inflight.py
+++ b/briarspur/inflight.py
@@ -125,14 +125,28 @@
         self.end(work, attempt)
 
     def failed(
-        self, work: Work, attempt: Attempt, failure: Failure, crashed: bool, now: float
+        self,
+        work: Work,
+        attempt: Attempt,
+        failure: Failure,
+        crashed: bool,
+        now: float,
+        rest: float | None = None,
     ) -> None:
-        """End an attempt that brought no whole answer, and learn from it."""
+        """End an attempt that brought no whole answer, and learn from it.
+
+        Parameters
+        ----------
+        rest : float or None
+            Seconds for which the receiver that turned it away wants nothing.
+        """
         own = self._own_target(attempt)
         if own is not None:
             self._record(attempt, failure is Failure.SHED, now)
             if crashed:
                 self._crashed(own, now)
+            if failure is Failure.SHED and rest is not None:
+                own.rest(rest, now)
         self.end(work, attempt)
         if attempt.target_id is not None:
             work.failed_targets.add(attempt.target_id)
--- a/briarspur/target.py
+++ b/briarspur/target.py
@@ -15,6 +15,8 @@
 MIN_LATENCY = 1e-4
 """Seconds; a floor for the mean, so that an estimate of waiting time never divides to nothing."""
 
+MOST_REST = 60.0
+"""Seconds; a longer rest is taken as this long, so that no target is shut out for good."""
 LATENCY_WEIGHT = 0.1
 """Weight of the newest answer in the mean latency of a service."""
 
@@ -33,6 +35,8 @@
         The policy says that it takes no new work.
     signal_until : float
         Until then it takes no new work, because it said so itself, or the VM list or a peer did.
+    rest_until : float
+        Until then it wants nothing from this entry, which it turned away.
     digests_by_attempt : dict of int to bytes
         What it runs, so that a crash leaves its suspects known.
     reserved : bool
@@ -45,6 +49,7 @@
     in_flight: int = 0
     policy_leaving: bool = False
     signal_until: float = 0.0
+    rest_until: float = 0.0
     reserved: bool = False
     digests_by_attempt: dict[int, bytes] = field(default_factory=dict)
 
@@ -52,9 +57,13 @@
         """Tell whether it takes no new work."""
         return self.policy_leaving or now < self.signal_until
 
+    def rest(self, seconds: float, now: float) -> None:
+        """Take a rest that it asks for; of several the latest end counts."""
+        self.rest_until = max(self.rest_until, now + min(seconds, MOST_REST))
+
     def free(self, now: float) -> int:
         """Return how many more requests it may take now."""
-        if self.reserved or self.leaving(now):
+        if self.reserved or self.leaving(now) or now < self.rest_until:
             return 0
         return min(self.slots, self.ramp.limit(now)) - self.in_flight
 
@@ -169,7 +178,9 @@
 
     def wait_for(self, ahead: int, now: float) -> float:
         """Estimate the seconds until a request with ``ahead`` others before it gets a slot."""
-        slots = sum(own.slots for own in self.by_id.values() if not own.leaving(now))
-        if slots == 0:
+        staying = [own for own in self.by_id.values() if own.slots and not own.leaving(now)]
+        if not staying:
             return float("inf")
-        return (ahead + 1) * max(self.mean_latency, MIN_LATENCY) / slots
+        rest = max(0.0, min(own.rest_until for own in staying) - now)
+        slots = sum(own.slots for own in staying if own.rest_until <= now + rest)
+        return rest + (ahead + 1) * max(self.mean_latency, MIN_LATENCY) / slots
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,6 +10,7 @@
 from briarspur.exchange import LEAVING_LIFETIME_S, LeavingNotice, News
 from briarspur.members import MemberView
 from briarspur.messages import Begin, Dispatch, Failure
+from briarspur.target import OwnTarget
 from tests.bench import Bench, make_core, make_view
 from tests.examples import small_policy
 
@@ -86,6 +87,42 @@
         self.assertIsInstance(next_sent[0], Dispatch)
 
 
+class RestTest(unittest.TestCase):
+    """A backend server that turned a request away is left alone for as long as it asks."""
+
+    def setUp(self) -> None:
+        invariants.strict = True
+        self.core = make_core("entry-1", random.Random(1))
+        self.bench = Bench(self.core)
+        self.targets = self.core.placement.targets_by_service["times"]
+
+    def shed_by(self, own: OwnTarget, rest: float, now: float) -> None:
+        """Let a target turn away requests until it has turned one away itself."""
+        others = [each for each in self.targets.by_id.values() if each is not own]
+        for each in others:
+            each.reserved = True
+        sent = self.bench.arrive("GET", f"/times/{now}", now)[0]
+        for each in others:
+            each.reserved = False
+        assert isinstance(sent, Dispatch)
+        self.core.attempt_failed(sent.attempt_id, Failure.SHED, now, retry_after=rest)
+
+    def test_it_gets_nothing_until_the_latest_end_it_asked_for(self) -> None:
+        """Guards against servers in need that get each request all the same."""
+        own = next(iter(self.targets.by_id.values()))
+        self.shed_by(own, 3.0, 1.0)
+        own.rest(0.5, 1.2)
+        self.assertEqual(0, own.free(3.9))
+        self.assertGreater(own.free(4.0), 0)
+
+    def test_callers_wait_or_hear_of_the_first_that_is_free(self) -> None:
+        """Guards against an estimate that takes resting servers for free ones."""
+        for number, own in enumerate(self.targets.by_id.values()):
+            own.rest(2.0 + number, 1.0)
+        self.assertGreaterEqual(self.targets.wait_for(0, 1.5), 1.5)
+        self.assertLess(self.targets.wait_for(0, 1.5), 1.6)
+
+
 class LeavingTest(unittest.TestCase):
     """A leaving backend server gets no new work, whichever way that becomes known."""
 
