The soak's judge of rests: a target that starts again has asked for nothing

Trace: the rest was asked for at 1796301585.520; the target's process was killed and its next incarnation, born 1796301586.957, was registered at 12:39:47.067, within the rest, and got the four requests. A new incarnation is another server, so the case is allowed; the judge now passes over rests in which the target's process was started.

--- a/tools/soaknotices.py
+++ b/tools/soaknotices.py
@@ -60,7 +60,7 @@
         self._harms: dict[str, list[float]] = defaultdict(list)
         self._limited: list[Limited] = []
         self._left: list[Left] = []
-        self._rested: list[tuple[str, float]] = []
+        self._rested: list[tuple[str, str]] = []
 
     def harmed(self, name: str) -> None:
         """Note that a process or a way was harmed until now."""
@@ -98,7 +98,7 @@
         item["rest_s"] = REST_S
         self._reload(process)
         await asyncio.sleep(self._rng.uniform(1.0, CALM_S))
-        self._rested.append((item["id"], REST_S))
+        self._rested.append((item["id"], process))
         del item["rest_s"]
         self._reload(process)
 
@@ -126,15 +126,16 @@
 
     def _judge_rests(self, gateways_by_id: Mapping[str, str]) -> Iterator[str]:
         """Yield rests in which a gateway sent more than it may."""
-        for target_id, rest_s in self._rested:
+        for target_id, process in self._rested:
             arrivals = self._site.arrivals(target_id)
             for asked in self._site.rests(target_id):
                 gateway, at = gateways_by_id.get(asked["id"], ""), asked["at"]
-                ways = (gateway, target_id)
-                if not all(self._is_calm(name, at - 1.0, at + rest_s) for name in ways):
+                # A target that starts again is another incarnation, which has asked for nothing.
+                ways = (gateway, target_id, process)
+                if not all(self._is_calm(name, at - 1.0, at + REST_S) for name in ways):
                     continue
                 count = sum(
-                    at + HEARD_S < row["at"] < at + rest_s
+                    at + HEARD_S < row["at"] < at + REST_S
                     and gateways_by_id.get(row["id"]) == gateway
                     for row in arrivals
                 )
