--- a/tools/soaknotices.py
+++ b/tools/soaknotices.py
@@ -88,7 +88,6 @@
         item["leaving"] = True
         self._reload(process)
         self._left.append(Left(item["id"], process, time.time()))
-        await asyncio.sleep(0.0)
 
     async def rest(self) -> None:
         """Let a server turn all requests away and ask for rest, for a while."""
