Tell the end of a limit for as long as it is remembered, by the shortest way it came

A play with news up to 1 s late and other random draws (the fleet of the tests learnt to restart entries): of 89 entries 8 to 63 never learnt that a limit had ended, though every message's delay was known. Traced to two causes. The end was told for 1 s after the last answer, and passed on for 2 s, which news that late outlive. And a speaker that heard it first by a long way did not pass it on to its group, since the count of hops stayed that of the first way.

Test of entries that start again while a limit holds, 10 and 27 entries.

--- a/briarspur/gateway/serverlimits.py
+++ b/briarspur/gateway/serverlimits.py
@@ -34,7 +34,8 @@
 """Entries that pass a limit on at most: a member's speaker and another group's. Each hop makes it
 seem younger by the way of its news; without a bound, entries would hand it round for ever."""
 LIFTED_KEPT = 5.0
-"""Seconds for which it is remembered that a limit was lifted, so that all entries are told."""
+"""Seconds for which it is remembered and told that a limit was lifted. No later answer may tell an
+entry that does not ask the server."""
 MOST_TOLD = 40
 """Limits in one message: some 360 bytes; the latest ones go first."""
 DRAWS = 1 << 32
@@ -113,6 +114,9 @@
             limit = self._by_number.get(item.number)
             if limit is None or now - item.age > limit.said_at + TOLD_MARGIN:
                 self._take(target, item, item.hops + 1, now)
+            elif item.per_s == limit.per_s and now - item.age > limit.said_at - TOLD_MARGIN:
+                # The same word by a shorter way: it may be passed on though the longer one may not.
+                limit.hops = min(limit.hops, item.hops + 1)
 
     def to_tell(self, relays: bool, now: float) -> tuple[ToldLimit, ...]:
         """Return what the other entries are to be told.
@@ -126,7 +130,8 @@
         fresh = [
             limit
             for limit in self._by_number.values()
-            if limit.said_at >= oldest and limit.hops <= (MOST_HOPS if relays else 0)
+            if limit.hops <= (MOST_HOPS if relays else 0)
+            and (limit.said_at >= oldest or limit.per_s == NO_LIMIT)
         ]
         if len(fresh) > MOST_TOLD:
             fresh = sorted(fresh, key=attrgetter("said_at"), reverse=True)[:MOST_TOLD]
--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -37,6 +37,7 @@
 TICK = 0.25
 WORK = 0.2
 PATIENCE = 4.0
+FIRST_START = 1
 REGIONS = 3
 WAYS = (0.001, 0.035)
 """Seconds one way within a region and between two."""
@@ -124,11 +125,13 @@
 
 
 class _Entry:
-    def __init__(self, fleet: "NoticeFleet", number: int, zones: int) -> None:
+    def __init__(
+        self, fleet: "NoticeFleet", number: int, zones: int, started: int = FIRST_START
+    ) -> None:
         zone = f"z-{number % zones}"
         region = f"r-{number % zones % REGIONS}"
         name = f"e-{number}"
-        self.record = EntryRecord(name, 1, name, zone, region, 80, 81, 82)
+        self.record = EntryRecord(name, started, name, zone, region, 80, 81, 82)
         self.fleet = Fleet(self.record)
         self.steering = Steering(name, zone, region, fleet.regions_by_zone, Bounds())
         self.gossip = Gossip(
@@ -174,6 +177,7 @@
         knows_delays: bool = False,
     ) -> None:
         self._rng = random.Random(seed)
+        self._zones = zones
         self._loss = loss
         self._latest = latest
         self._knows_delays = knows_delays
@@ -192,19 +196,30 @@
             made = _Entry(self, number, zones)
             self.entries_by_name[made.record.entry_id] = made
         for made in self.entries_by_name.values():
-            self._begin(made, zones)
+            self._begin(made)
+
+    def restart(self, name: str) -> None:
+        """Let an entry start again: it knows nothing of what it knew, and its requests are lost."""
+        old = self.entries_by_name[name]
+        number = int(name.rpartition("-")[2])
+        made = _Entry(self, number, self._zones, old.record.started + 1)
+        self.entries_by_name[name] = made
+        for other in self.entries_by_name.values():
+            other.fleet.recorded(made.record, self._now)
+        self._begin(made)
 
-    def _begin(self, entry: _Entry, zones: int) -> None:
+    def _begin(self, entry: _Entry) -> None:
         for other in self.entries_by_name.values():
             entry.fleet.recorded(other.record)
         entry.steering.fleet_recorded(entry.fleet.size)
         served = replace(route(timeout=PATIENCE), goal=1.0)
         entry.steering.configuration_accepted(configuration(1, [served]))
         for number, server in enumerate(self.servers):
-            made = registration(server.name, zone=f"z-{number % zones}", slots=3)
-            entry.steering.targets.registered(made, 0.0)
-        self._at(self._rng.uniform(0.0, TICK), lambda now: self._tick(entry, now))
-        self._at(self._rng.uniform(0.0, TICK), lambda now: self._tell(entry, now))
+            made = registration(server.name, zone=f"z-{number % self._zones}", slots=3)
+            entry.steering.targets.registered(made, self._now)
+        begin = self._now + self._rng.uniform(0.0, TICK)
+        self._at(begin, lambda now: self._tick(entry, now))
+        self._at(begin, lambda now: self._tell(entry, now))
 
     def name_limits(self, at: float, limits: list[float]) -> None:
         """Let the first servers name limits from some time on."""
@@ -268,7 +283,12 @@
     def _hear(self, host: str, news: News, now: float) -> None:
         self.entries_by_name[host].gossip.received(news, now)
 
+    def _is_current(self, entry: _Entry) -> bool:
+        return self.entries_by_name[entry.record.entry_id] is entry
+
     def _tick(self, entry: _Entry, now: float) -> None:
+        if not self._is_current(entry):
+            return
         entry.gossip.members_changed(now)
         entry.steering.loads.expire(now)
         entry.steering.entries_changed(entry.fleet.entry_ids(now))
@@ -277,6 +297,8 @@
         self._at(now + TICK, lambda at: self._tick(entry, at))
 
     def _tell(self, entry: _Entry, now: float) -> None:
+        if not self._is_current(entry):
+            return
         entry.gossip.tick(now)
         self._at(now + entry.gossip.period(), lambda at: self._tell(entry, at))
 
@@ -310,11 +332,15 @@
 
     def _answer(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
         steering = self.entries_by_name[name].steering
+        if steering.targets.get(server.name) is not attempt.target:
+            return
         self._note(name, server, attempt, now)
         steering.ended(attempt, Outcome.ANSWERED, now)
 
     def _reject(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
         steering = self.entries_by_name[name].steering
+        if steering.targets.get(server.name) is not attempt.target:
+            return
         server.asked_at.setdefault(name, []).append(now)
         self._note(name, server, attempt, now)
         steering.ended(attempt, Outcome.REJECTED, now)
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -48,6 +48,18 @@
         fleet.play(12.0, 24.0, 70.0)
         self.check(fleet)
 
+    def test_a_limit_holds_while_entries_start_again(self) -> None:
+        """Guards against entries that come back with a whole limit of their own."""
+        for entries, zones in ((10, 6), (27, 3)):
+            fleet = NoticeFleet(entries, 6, zones)
+            fleet.name_limits(5.0, [2.0] * 6)
+            fleet.play(0.0, 12.0, 70.0)
+            for step in range(8):
+                fleet.restart(f"e-{step % 4}")
+                fleet.play(12.0 + step, 13.0 + step, 70.0)
+            fleet.play(20.0, 26.0, 70.0)
+            self.check(fleet)
+
     def test_a_limit_is_used_while_there_is_demand(self) -> None:
         """Guards against limits that refuse callers whom the servers would take."""
         for entries, zones, per_s in ((10, 6, 1.7), (27, 3, 1.7), (27, 3, 0.5)):
