--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -6,7 +6,7 @@
 
 from briarspur import logs
 from briarspur.gateway.registration import Registration
-from briarspur.gateway.servernotice import FROM_ENTRY
+from briarspur.gateway.servernotice import FROM_ANSWER, FROM_ENTRY
 from briarspur.gateway.target import Target
 
 __all__ = ["TargetTable"]
@@ -114,7 +114,7 @@
                 "target-departed",
                 target=target.registration.target_id,
                 way=way,
-                age_s=f"{0.0:.3f}",
+                age_s="0.000" if way is FROM_ANSWER else None,
             )
 
     def evacuate(self, zones: Iterable[str], now: float) -> None:
