Pull copies in parts, so that a large configuration passes a slow link

Cause: the configuration has 1,768 routes. Members of a group copy it from an aggregator by one gRPC message with a timeout of 1 s for the whole call, over links of 10 Mbit/s and from two aggregators at once. What had arrived by then was dropped and the call began anew, for good. The timeout also closed the connection, and with it the pulls of other kinds on it. The aggregator encoded the configuration anew for each pull: 785 pulls in 18 s on the profiled one.

Evidence: a member logs peer-unavailable kind=CONFIGURATION TimeoutError() every second from 31 s on, each followed by StreamTerminatedError('Connection lost') of TARGETS and ENTRIES, refuses 454 requests as NOT_READY with version=0, and never logs configuration-in-force after its start. Ruled out: servers without room (the refusals come from entries without a configuration) and a store that is away (the aggregators read it).

Fix: the reply is a stream of compressed parts, and the timeout applies to each of them. A reply that is slow because of its size goes on; an entry that falls silent still fails after 1 s. The parts are encoded once for all members that pull the same changes. Entries of an older version ask without in_parts and get one message, as before.

--- a/briarspur/gateway/gateway_grpc.py
+++ b/briarspur/gateway/gateway_grpc.py
@@ -22,7 +22,7 @@
         return {
             '/briarspur.gateway.Replica/Pull': grpclib.const.Handler(
                 self.Pull,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.UNARY_STREAM,
                 briarspur.gateway.gateway_pb2.PullRequest,
                 briarspur.gateway.gateway_pb2.PullReply,
             ),
@@ -32,7 +32,7 @@
 class ReplicaStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Pull = grpclib.client.UnaryUnaryMethod(
+        self.Pull = grpclib.client.UnaryStreamMethod(
             channel,
             '/briarspur.gateway.Replica/Pull',
             briarspur.gateway.gateway_pb2.PullRequest,
--- a/briarspur/gateway/pull.py
+++ b/briarspur/gateway/pull.py
@@ -1,8 +1,13 @@
 """Transfers copies of the store's objects between entries by gRPC."""
 
+import asyncio
 import json
+import zlib
 from collections.abc import Callable
+from dataclasses import dataclass
 
+from google.protobuf.message import DecodeError
+from grpclib.client import Channel
 from grpclib.server import Server, Stream
 
 from briarspur.errors import PeerError
@@ -14,7 +19,13 @@
 __all__ = ["PullClient", "PullResult", "PullServer"]
 
 PULL_TIMEOUT_S = 1.0
-"""The largest copy, of some hundred registrations, takes 0.1 s."""
+"""Time without any part of a reply after which the other entry is regarded as unreachable."""
+MAX_PULL_S = 20.0
+"""Time for a whole reply."""
+PART_BYTES = 16_384
+"""Small enough that a part passes the slowest links well within the timeout."""
+COMPRESSION_LEVEL = 1
+"""Routes differ in a few fields, so the fastest level already removes most of their bytes."""
 MAX_AGE_S = 3_600.0
 MS_PER_S = 1_000
 KIND_NUMBERS = frozenset(int(kind) for kind in FOLLOWED)
@@ -50,13 +61,14 @@
         PeerError
             The entry did not answer, or its answer is malformed.
         """
-        message = pb.PullRequest(kind=int(kind), newer_than=newer_than)
-        reply: pb.PullReply = await self._channels.call(
-            address, lambda channel: ReplicaStub(channel).Pull(message), PULL_TIMEOUT_S
+        message = pb.PullRequest(kind=int(kind), newer_than=newer_than, in_parts=True)
+        received = await self._channels.call(
+            address, lambda channel: _receive(channel, message), MAX_PULL_S
         )
-        if reply.revision == 0:
-            return None
         try:
+            reply = _join(received)
+            if reply.revision == 0:
+                return None
             changes = tuple(_decode_change(item) for item in reply.objects)
         except ValueError as error:
             raise PeerError(f"{address.host}:{address.port}: malformed copy: {error}") from None
@@ -81,6 +93,7 @@
         self._store_age = store_age
         self._server = Server([self])
         self._listening = False
+        self._encoded_by_kind: dict[Kind, _EncodedReply] = {}
 
     async def start(self, host: str, port: int) -> None:
         """Start listening on a host and port."""
@@ -99,15 +112,88 @@
         if message is None or message.kind not in KIND_NUMBERS:
             await stream.send_message(pb.PullReply())
             return
-        batch = self._replica_of(Kind(message.kind)).newer_than(message.newer_than)
-        await stream.send_message(
-            pb.PullReply(
-                revision=batch.revision,
-                whole=batch.whole,
-                objects=[_encode_change(change) for change in batch.changes],
-                age_ms=round(min(self._store_age(), MAX_AGE_S) * MS_PER_S),
-            )
-        )
+        age_ms = round(min(self._store_age(), MAX_AGE_S) * MS_PER_S)
+        replica = self._replica_of(Kind(message.kind))
+        if not message.in_parts:
+            reply = _encode_reply(replica.newer_than(message.newer_than))
+            reply.age_ms = age_ms
+            await stream.send_message(reply)
+            return
+        parts = self._encoded(replica, message.newer_than).parts
+        for part in parts:
+            await stream.send_message(pb.PullReply(age_ms=age_ms, parts=len(parts), part=part))
+
+    def _encoded(self, replica: Replica, newer_than: int) -> "_EncodedReply":
+        """Return a reply; all members of a group pull the same changes at the same time."""
+        known = self._encoded_by_kind.get(replica.kind)
+        if known is not None and known.covers(newer_than, replica.revision):
+            return known
+        reply = _encode_reply(replica.newer_than(newer_than)).SerializeToString()
+        compressed = zlib.compress(reply, COMPRESSION_LEVEL)
+        starts = range(0, len(compressed), PART_BYTES)
+        parts = tuple(compressed[start : start + PART_BYTES] for start in starts)
+        encoded = _EncodedReply(newer_than, replica.revision, parts)
+        self._encoded_by_kind[replica.kind] = encoded
+        return encoded
+
+
+@dataclass(frozen=True, slots=True)
+class _EncodedReply:
+    """The compressed parts of the changes after one revision up to another."""
+
+    newer_than: int
+    revision: int
+    parts: tuple[bytes, ...]
+
+    def covers(self, newer_than: int, revision: int) -> bool:
+        """Return whether these are the changes after ``newer_than`` up to ``revision``."""
+        return (newer_than, revision) == (self.newer_than, self.revision)
+
+
+async def _receive(channel: Channel, message: pb.PullRequest) -> list[pb.PullReply]:
+    """Return the messages of a reply.
+
+    The timeout applies to each message: a reply that is slow because of its size must not be
+    abandoned, since the next attempt would start from its beginning and fail in the same way.
+    """
+    received: list[pb.PullReply] = []
+    async with ReplicaStub(channel).Pull.open() as stream:
+        async with asyncio.timeout(PULL_TIMEOUT_S):
+            await stream.send_message(message, end=True)
+        while True:
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                reply = await stream.recv_message()
+            if reply is None:
+                return received
+            received.append(reply)
+
+
+def _join(received: list[pb.PullReply]) -> pb.PullReply:
+    """Return the reply in the received messages.
+
+    Raises
+    ------
+    ValueError
+        A part is missing, or the parts are malformed.
+    """
+    if not received:
+        raise ValueError("the reply is empty")
+    first = received[0]
+    if first.parts == 0:
+        return first
+    if len(received) != first.parts:
+        raise ValueError(f"{len(received)} of {first.parts} parts")
+    try:
+        reply = pb.PullReply.FromString(zlib.decompress(b"".join(each.part for each in received)))
+    except (zlib.error, DecodeError) as error:
+        raise ValueError(str(error)) from None
+    reply.age_ms = first.age_ms
+    return reply
+
+
+def _encode_reply(batch: Batch) -> pb.PullReply:
+    objects = [_encode_change(change) for change in batch.changes]
+    return pb.PullReply(revision=batch.revision, whole=batch.whole, objects=objects)
 
 
 def _encode_change(change: StoredChange) -> pb.PulledObject:
