Read the store with a timeout for silence, not for the whole response

Each part of a body that arrives now extends the timeout, by 20 s in all at the most. A store that falls silent midway still fails after the timeout. A call that is given up closes its connection without the traceback AlreadyCalledError that the log had after each such call.

--- a/briarspur/storecalls.py
+++ b/briarspur/storecalls.py
@@ -1,17 +1,23 @@
 """Calls to the platform over persistent HTTP connections, each with a timeout.
 
+The timeout applies to the time without any byte of the response. A response that is slow because of
+its size is not abandoned: the next call would fail in the same way.
+
 A failed call certainly had no effect if no byte of it can have left this process; otherwise it may
 have taken effect. Different exceptions are raised for the two cases.
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectError, DNSLookupError
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
@@ -24,6 +30,8 @@
 
 MAX_IDLE_CONNECTIONS = 8
 DEFAULT_RETRY_AFTER_S = 1.0
+MAX_BODY_S = 20.0
+"""Time for the whole body of a response."""
 NOT_SENT = (ConnectError, DNSLookupError, RequestNotSent)
 
 
@@ -83,6 +91,38 @@
         pass
 
 
+class _BodyReader(Protocol):
+    """Collects the body of a response.
+
+    Parameters
+    ----------
+    on_data : callable
+        Called when a part of the body arrives.
+    """
+
+    def __init__(self, on_data: Callable[[], None]) -> None:
+        self.body: Deferred[bytes] = Deferred(self._abort)
+        self._on_data = on_data
+        self._chunks: list[bytes] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._chunks.append(data)
+        self._on_data()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if self.body.called:
+            return
+        if reason.check(ResponseDone):
+            self.body.callback(b"".join(self._chunks))
+        else:
+            self.body.errback(reason)
+
+    def _abort(self, cancelled: "Deferred[bytes]") -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
 class PlatformClient:
     """Client of the platform; owns a pool of persistent connections."""
 
@@ -114,7 +154,7 @@
         value: bytes | None = None,
         wait: float = 0.0,
     ) -> Response:
-        """Send one request; ``wait`` seconds are added to its timeout.
+        """Send one request; ``wait`` seconds are added to the timeout for its first byte.
 
         Raises
         ------
@@ -123,8 +163,8 @@
         """
         body = None if value is None else _Body(value)
         try:
-            async with asyncio.timeout(self._timeout + wait):
-                return await self._call(method, path, headers or {}, body)
+            async with asyncio.timeout(self._timeout + wait) as timeout:
+                return await self._call(method, path, headers or {}, body, timeout)
         except NOT_SENT as error:
             raise NotSentError(str(error)) from None
         except TimeoutError:
@@ -135,13 +175,26 @@
             raise NoResponseError(repr(error)) from None
 
     async def _call(
-        self, method: bytes, path: str, headers: dict[bytes, bytes], body: Any
+        self,
+        method: bytes,
+        path: str,
+        headers: dict[bytes, bytes],
+        body: Any,
+        timeout: asyncio.Timeout,
     ) -> Response:
         loop = asyncio.get_running_loop()
         request_headers = Headers({name: [text] for name, text in headers.items()})
         deferred = self._agent.request(method, (self._base + path).encode(), request_headers, body)
         response: Any = await deferred.asFuture(loop)
-        response_body = await readBody(response).asFuture(loop)
+        latest_end = loop.time() + MAX_BODY_S
+
+        def extend() -> None:
+            timeout.reschedule(min(latest_end, loop.time() + self._timeout))
+
+        extend()
+        reader = _BodyReader(extend)
+        response.deliverBody(reader)
+        response_body = await reader.body.asFuture(loop)
         return Response(response.code, response.headers, response_body)
 
 
