Update servers' orders and lists by the change instead of making them anew

Any change of any server raised the epoch of all services, so each object's order of its service's servers was computed anew, one hash a server. Each registration in the first list made the lists of all services anew.

Evidence: profile of the grown Kit Portal, a member on 0.43 of a core 37 s from its start, times under the profiler: 569 orders and 44,210 weights of servers took 0.64 s, the lists 0.27 s, of 11.9 s outside of waiting. In its first 11 s the 284 registrations made the lists 284 times, 40,470 checks, 0.12 s of the 2.5 s outside of waiting.

Epochs now count by service, an order is changed by the servers that came or went, and a list by the one server.

After a change in another service no weight is computed.

--- a/briarspur/gateway/preference.py
+++ b/briarspur/gateway/preference.py
@@ -8,6 +8,7 @@
 One order over all regions would send more bytes between regions, without more answers in time.
 """
 
+from bisect import insort
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
@@ -26,6 +27,8 @@
 FAIR_SHARE_FACTOR = 1.25
 """A server's fair share of warm objects, as a multiple of the mean of its service."""
 MAX_CACHED_ORDERS = 5_000
+MAX_INSERTED_SHARE = 0.15
+"""Share of servers up to which it takes fewer hashes to insert them than to sort all anew."""
 
 
 class Distance(IntEnum):
@@ -136,21 +139,42 @@
         cached = self._orders.get((service, key))
         if cached is not None and cached.epoch == epoch:
             return cached
-        text = f"{key:08x}"
-        by_weight = sorted(
-            targets, key=lambda target: weight(text, target.registration.target_id), reverse=True
-        )
+        by_weight = _by_weight(key, targets, [] if cached is None else cached.overall)
         by_distance: dict[Distance, list[Target]] = {distance: [] for distance in Distance}
+        within_region = []
         for target in by_weight:
-            by_distance[self._distances.distance(target)].append(target)
+            distance = self._distances.distance(target)
+            by_distance[distance].append(target)
+            if distance is not Distance.FAR:
+                within_region.append(target)
         if len(self._orders) >= MAX_CACHED_ORDERS:
             self._orders.clear()
-        within = [t for t in by_weight if self._distances.distance(t) <= Distance.REGION]
-        order = _Order(epoch, by_weight, by_distance, within)
+        order = _Order(epoch, by_weight, by_distance, within_region)
         self._orders[service, key] = order
         return order
 
 
+def _by_weight(key: int, targets: Sequence[Target], previous: list[Target]) -> list[Target]:
+    """Return targets by descending weight for an object, given their order before a change.
+
+    Only the weights of targets that were added are computed, and of those that they are compared
+    with.
+    """
+    text = f"{key:08x}"
+
+    def ascending(target: Target) -> int:
+        return -weight(text, target.registration.target_id)
+
+    current, known = set(targets), set(previous)
+    added = [target for target in targets if target not in known]
+    if len(added) > MAX_INSERTED_SHARE * len(targets):
+        return sorted(targets, key=ascending)
+    by_weight = [target for target in previous if target in current]
+    for target in added:
+        insort(by_weight, target, key=ascending)
+    return by_weight
+
+
 def mean_warm_objects(targets: Sequence[Target]) -> float:
     """Return the mean number of objects known to be warm at a server."""
     return sum(len(target.warmth) for target in targets) / max(1, len(targets))
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -288,15 +288,16 @@
         criteria = SelectionCriteria(
             work.route, work.service, work.key, work.tried, work.size, regions
         )
+        epoch = self.targets.epoch_by_service[work.service]
         full: list[Target] = []
         for _ in range(MAX_CANDIDATE_CHECKS):
-            choice = self._chooser.choose(criteria, targets, self.targets.epoch, now)
+            choice = self._chooser.choose(criteria, targets, epoch, now)
             if choice is None or self.limits.has_room(choice.target, work.request_id, now):
                 return choice
             full.append(choice.target)
             criteria = replace(criteria, full=full)
         criteria = replace(criteria, full=[t for t in targets if self.limits.is_limited(t)])
-        return self._chooser.choose(criteria, targets, self.targets.epoch, now)
+        return self._chooser.choose(criteria, targets, epoch, now)
 
     def _spend_retry(self, work: Work, now: float) -> Code | None:
         """Take one retry from the budget; return the code that forbids it, None if allowed."""
--- a/briarspur/gateway/targettable.py
+++ b/briarspur/gateway/targettable.py
@@ -33,16 +33,19 @@
         All known targets, by their number in load news.
     epoch : int
         Incremented whenever ``by_service`` changes.
+    epoch_by_service : dict
+        The epoch of the latest change of each service's targets.
     """
 
     def __init__(self, zone_regions: Mapping[str, str]) -> None:
         self._zone_regions = zone_regions
         self._by_id: dict[str, Target] = {}
         self.by_service: dict[str, list[Target]] = {}
-        self._by_regions: dict[tuple[str, frozenset[str]], list[Target]] = {}
+        self._by_regions: dict[str, dict[frozenset[str], list[Target]]] = {}
         self.by_number: dict[int, Target] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.epoch = 0
+        self.epoch_by_service: dict[str, int] = {}
         self._leaving_since: dict[int, float] = {}
         self.on_target_added: Callable[[Target], None] = lambda target: None
 
@@ -58,10 +61,11 @@
         targets = self.by_service.get(service, [])
         if not regions:
             return targets
-        found = self._by_regions.get((service, regions))
+        found_by_regions = self._by_regions.setdefault(service, {})
+        found = found_by_regions.get(regions)
         if found is None:
             found = [target for target in targets if target.region in regions]
-            self._by_regions[service, regions] = found
+            found_by_regions[regions] = found
         return found
 
     def accepts_work(self, target: Target, now: float) -> bool:
@@ -82,7 +86,8 @@
             target.gone = False
             target.warmth.clear()
             logs.event("target-changed", target=registration.target_id, **_log_fields(registration))
-            self._rebuild()
+            self._delist(target, old.service)
+            self._enlist(target)
 
     def removed(self, target_id: str) -> None:
         """Remove a target whose registration was deleted."""
@@ -90,14 +95,14 @@
         if target is not None:
             self.by_number.pop(target.number, None)
             logs.event("target-removed", target=target_id)
-            self._rebuild()
+            self._delist(target, target.registration.service)
 
     def misdirected(self, target: Target) -> None:
         """Stop using a target at whose address another server answered."""
         if not target.gone:
             target.gone = True
             logs.event("target-gone", target=target.registration.target_id, reason="421")
-            self._rebuild()
+            self._delist(target, target.registration.service)
 
     def record_leaving(self, target: Target, source: str, now: float) -> None:
         """Record that a server advertised that it is leaving.
@@ -113,7 +118,7 @@
             return
         target.leaving = True
         self._leaving_since[target.number] = now
-        self._rebuild()
+        self._delist(target, target.registration.service)
         if not target.registration.draining:
             logs.event(
                 "target-departed",
@@ -141,6 +146,7 @@
     def _replace(self, old: Target | None, registration: Registration, now: float) -> None:
         if old is not None:
             self.by_number.pop(old.number, None)
+            self._delist(old, old.registration.service)
         region = self._zone_regions.get(registration.zone, "")
         target = Target(registration, region, now)
         self._by_id[registration.target_id] = target
@@ -153,7 +159,7 @@
             cold_s=registration.cold_s or None,
             **_log_fields(registration),
         )
-        self._rebuild()
+        self._enlist(target)
 
     def _update_cold_state(self, target: Target, registration: Registration, now: float) -> None:
         until = now + registration.cold_s if registration.cold_s > 0.0 else 0.0
@@ -194,14 +200,36 @@
             return False
         return registration.zone not in self.evacuated
 
+    def _enlist(self, target: Target) -> None:
+        """Add a target to the list of its service if it accepts new work."""
+        if self._is_open(target):
+            service = target.registration.service
+            self._set_targets(service, [*self.by_service.get(service, ()), target])
+
+    def _delist(self, target: Target, service: str) -> None:
+        """Remove a target from the list of a service."""
+        listed = self.by_service.get(service, [])
+        remaining = [other for other in listed if other is not target]
+        if len(remaining) < len(listed):
+            self._set_targets(service, remaining)
+
     def _rebuild(self) -> None:
+        """Recreate the lists of all services."""
         by_service: dict[str, list[Target]] = defaultdict(list)
         for target in self._by_id.values():
             if self._is_open(target):
                 by_service[target.registration.service].append(target)
-        self.by_service = dict(by_service)
-        self._by_regions.clear()
+        for service in self.by_service.keys() | by_service.keys():
+            self._set_targets(service, by_service.get(service, []))
+
+    def _set_targets(self, service: str, targets: list[Target]) -> None:
+        if targets:
+            self.by_service[service] = targets
+        else:
+            self.by_service.pop(service, None)
+        self._by_regions.pop(service, None)
         self.epoch += 1
+        self.epoch_by_service[service] = self.epoch
 
 
 def _placement(registration: Registration) -> tuple[object, ...]:
