Apply only the counts that differ from an entry's last news

Each message was taken back whole and applied whole, two steps for each server in use, while most counts are those of the message before.

The test counts the changes: four instead of nine.

--- a/briarspur/gateway/loadview.py
+++ b/briarspur/gateway/loadview.py
@@ -164,15 +164,13 @@
         group = f"group {news.group}" if news.group else news.entry_id
         key = (group, news.part, news.parts)
         previous = self._counts_by_source.get(key)
-        if previous is not None:
-            if not news.is_newer_than(previous):
-                return False
-            self._add(previous.counts_by_number, -1)
+        if previous is not None and not news.is_newer_than(previous):
+            return False
         counts = _subtract(news.counts_by_number, own) if own else news.counts_by_number
         self._counts_by_source[key] = ReportedCounts(
             news.entry_id, news.started, news.sequence, now, counts
         )
-        self._add(counts, 1)
+        self._replace_counts({} if previous is None else previous.counts_by_number, counts)
         self._drop_parts(group, news.parts)
         self.record_warmed_elsewhere(news.warmed)
         return True
@@ -239,16 +237,25 @@
     def _drop(self, key: tuple[str, int, int]) -> None:
         reported = self._counts_by_source.pop(key, None)
         if reported is not None:
-            self._add(reported.counts_by_number, -1)
-
-    def _add(self, counts_by_number: Mapping[int, int], sign: int) -> None:
-        for number, count in counts_by_number.items():
-            target = self._targets.get(number)
-            if target is not None:
-                # A target that was replaced between two messages starts at zero.
-                target.elsewhere = max(0, target.elsewhere + sign * count)
-            else:
-                self.on_unknown_number(number, sign * count)
+            self._replace_counts(reported.counts_by_number, {})
+
+    def _replace_counts(self, old: Mapping[int, int], new: Mapping[int, int]) -> None:
+        """Replace the counts of one source; most of them are equal in successive messages."""
+        for number, count in new.items():
+            before = old.get(number, 0)
+            if count != before:
+                self._add(number, count - before)
+        for number, count in old.items():
+            if number not in new:
+                self._add(number, -count)
+
+    def _add(self, number: int, change: int) -> None:
+        target = self._targets.get(number)
+        if target is not None:
+            # A target that was replaced between two messages starts at zero.
+            target.elsewhere = max(0, target.elsewhere + change)
+        else:
+            self.on_unknown_number(number, change)
 
 
 def pop_warmed(queue: list[tuple[int, int]]) -> tuple[tuple[int, int], ...]:
--- a/tests/gateway/test_decisioncost.py
+++ b/tests/gateway/test_decisioncost.py
@@ -8,6 +8,7 @@
 from briarspur.gateway import preference
 from briarspur.gateway import steering as steering_module
 from briarspur.gateway.coldstart import cold_bucket
+from briarspur.gateway.loadview import LoadView, News
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.preference import Preferences
 from briarspur.gateway.target import Target
@@ -126,3 +127,18 @@
                     set(table.in_regions(service, frozenset({"a"}))),
                     step,
                 )
+
+
+class LoadNewsTest(unittest.TestCase):
+    """News that repeat what is known change nothing."""
+
+    def test_equal_counts_are_not_applied_again(self) -> None:
+        """Guards against news whose cost grows with the servers in use."""
+        target = Target(registration("t-1"), "a", 0.0)
+        loads = LoadView({target.number: target})
+        changes: list[tuple[int, int]] = []
+        loads.on_unknown_number = lambda number, change: changes.append((number, change))
+        for sequence, counts in enumerate(({1: 2, 5: 1}, {1: 2, 5: 1}, {1: 3}), start=1):
+            loads.received(News("e-2", 1, sequence, False, {target.number: 4, **counts}), 0.0)
+        self.assertEqual([(1, 2), (5, 1), (1, 1), (5, -1)], changes)
+        self.assertEqual(4, target.elsewhere)
