Take the start time of a process outside of the adapter

The start is now recorded by a module of the gateway, which the entry point calls before its imports; without that call the duration is zero, as for gateways that tests create. No change of behaviour on the platform.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -28,6 +28,7 @@
 from briarspur.gateway.objectsource import ObjectSource
 from briarspur.gateway.pages import Page, PageFactory
 from briarspur.gateway.pool import ConnectionPool
+from briarspur.gateway.processstart import start_duration
 from briarspur.gateway.pull import PullClient, PullServer
 from briarspur.gateway.readtimes import read_times
 from briarspur.gateway.replica import (
@@ -73,21 +74,10 @@
 
 
 class Gateway:
-    """Serves callers until it is stopped.
-
-    Parameters
-    ----------
-    start_duration : float
-        Seconds since the start of the process.
-    """
+    """Serves callers until it is stopped."""
 
     def __init__(
-        self,
-        settings: GatewaySettings,
-        dialect: Dialect,
-        source: ObjectSource,
-        codec: Codec,
-        start_duration: float = 0.0,
+        self, settings: GatewaySettings, dialect: Dialect, source: ObjectSource, codec: Codec
     ) -> None:
         from twisted.internet import reactor
 
@@ -96,7 +86,8 @@
         self._dialect = dialect
         self._source = source
         self._codec = codec
-        self._started = round((time.time() - start_duration) * MS_PER_S)
+        starting_s = start_duration()
+        self._started = round((time.time() - starting_s) * MS_PER_S)
         self._rng = random.Random(f"{settings.entry_id}/{self._started}")
         self._channels = PeerChannels(MAX_PEER_CHANNELS, PEER_CHANNEL_IDLE_S)
         self.own_record = self._make_own_record()
@@ -109,7 +100,7 @@
             _bounds(settings.bounds),
         )
         self.steering.quotas.started = self._reactor.seconds()
-        self.steering.quotas.start_duration = start_duration
+        self.steering.quotas.start_duration = starting_s
         self.log = RequestLog(self._reactor.seconds, lambda: self.following.confirmed_age())
         self.pool = ConnectionPool(self._reactor, settings.host)
         max_connections = int(
--- a/briarspur/platform/__main__.py
+++ b/briarspur/platform/__main__.py
@@ -2,14 +2,15 @@
 
 import gc
 import sys
-import time
+
+from briarspur.gateway.processstart import record_start
 
 __all__ = ["main"]
 
 
 def main() -> int:
     """Import the gateway and run it."""
-    started = time.monotonic()
+    record_start()
     # Imports create many objects and hardly any garbage, so garbage collection during the import
     # is wasted work. Freezing excludes the imported objects from all later collections.
     gc.disable()
@@ -17,7 +18,7 @@
 
     gc.freeze()
     gc.enable()
-    return gateway.main(started)
+    return gateway.main()
 
 
 if __name__ == "__main__":
--- a/briarspur/platform/gateway.py
+++ b/briarspur/platform/gateway.py
@@ -1,7 +1,6 @@
 """The gateway, configured for the platform."""
 
 import os
-import time
 from collections.abc import Iterable
 from typing import Any
 
@@ -62,8 +61,8 @@
         return lookup.lookup_body(entries, lifetime)
 
 
-def build(settings: GatewaySettings, started: float) -> Gateway:
-    """Create a gateway from its settings, in a process that started at a monotonic time."""
+def build(settings: GatewaySettings) -> Gateway:
+    """Create a gateway from its settings."""
     host, _, port = settings.store.address.rpartition(":")
     client = PlatformClient(
         PlatformSettings(
@@ -73,26 +72,9 @@
             idle_s=settings.store.idle_s,
         )
     )
-    return Gateway(
-        settings,
-        PlatformDialect(),
-        PlatformStore(StoreCalls(client)),
-        PlatformCodec(),
-        time.monotonic() - started,
-    )
-
+    return Gateway(settings, PlatformDialect(), PlatformStore(StoreCalls(client)), PlatformCodec())
 
-def main(started: float) -> int:
-    """Run the gateway with the settings file that the platform passes in the environment.
 
-    Parameters
-    ----------
-    started : float
-        Monotonic time of the start of the process, in seconds.
-    """
-    return run_file(
-        "briarspur-gateway",
-        GatewaySettings,
-        lambda settings: build(settings, started),
-        os.environ[SETTINGS_VARIABLE],
-    )
+def main() -> int:
+    """Run the gateway with the settings file that the platform passes in the environment."""
+    return run_file("briarspur-gateway", GatewaySettings, build, os.environ[SETTINGS_VARIABLE])
