Let overlapping faults of the soak wait for the gateway that they ended

A SIGTERM and a SIGKILL of one gateway overlapped; the first fault restarted it between two polls of the second one, which then waited for the new process to end. Each fault waits for the process that it sent its signal to now. The test hung until its timeout with the loop as it was.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -76,6 +76,10 @@
         process = self._process_by_name.get(name)
         return process is not None and process.poll() is None
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process that was started, which may have ended."""
+        return self._process_by_name[name].pid
+
     def pids(self) -> list[int]:
         """Return the ids of all processes that were started, including ended ones."""
         return [process.pid for process in self._process_by_name.values()]
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import random
+import signal
 import tempfile
 import time
 import unittest
@@ -29,6 +31,34 @@
         await asyncio.sleep(max(0.0, until - time.time()))
 
 
+class FakeLauncher:
+    """A launcher whose only process ends some time after each signal."""
+
+    def __init__(self) -> None:
+        self.starts = 1
+        self._ends_at = float("inf")
+
+    def pid(self, name: str) -> int:
+        return self.starts
+
+    def is_alive(self, name: str) -> bool:
+        return time.monotonic() < self._ends_at
+
+    def signal(self, name: str, number: int) -> None:
+        self._ends_at = min(self._ends_at, time.monotonic() + 0.2)
+
+    def start(self, name: str, module: str) -> None:
+        self.starts += 1
+        self._ends_at = float("inf")
+
+
+class ShortestPauses(random.Random):
+    """Random numbers, of which those from a range are its lower end."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+
 class FaultSoakTest(unittest.TestCase):
     """Gateways keep their guarantees under faults, and the checks detect violations."""
 
@@ -47,6 +77,23 @@
             asyncio.run(soak.run())
             self.assertEqual([], soak.findings)
 
+    def test_overlapping_faults_of_one_gateway_all_end(self) -> None:
+        """Guards against a run that hangs as a fault waits for the restarted gateway to end."""
+
+        async def inject(soak: FaultSoak) -> None:
+            first = asyncio.ensure_future(soak._end_and_restart("g0", signal.SIGTERM))
+            await asyncio.sleep(0.02)
+            second = asyncio.ensure_future(soak._end_and_restart("g0", signal.SIGKILL))
+            await asyncio.wait_for(asyncio.gather(first, second), 5.0)
+
+        with tempfile.TemporaryDirectory() as folder:
+            soak = FaultSoak(1, 1.0, 1, Path(folder))
+            launcher = FakeLauncher()
+            soak._launcher = launcher  # type: ignore[assignment]
+            soak._rng = ShortestPauses()
+            asyncio.run(inject(soak))
+            self.assertEqual(2, launcher.starts)
+
     def test_violations_of_results_are_found(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             soak = FaultSoak(1, 1.0, 1, Path(folder))
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -141,16 +141,13 @@
         await asyncio.gather(*fault_tasks)
 
     async def _kill_gateway(self) -> None:
-        name = self._random_gateway()
-        self._launcher.signal(name, signal.SIGKILL)
-        await self._restart(name)
+        await self._end_and_restart(self._random_gateway(), signal.SIGKILL)
 
     async def _stop_gateway(self) -> None:
         name = self._random_gateway()
-        self._launcher.signal(name, signal.SIGTERM)
         if self._rng.random() < 0.5:
             self._launcher.signal(name, signal.SIGTERM)
-        await self._restart(name)
+        await self._end_and_restart(name, signal.SIGTERM)
 
     async def _pause_gateway(self) -> None:
         name = self._random_gateway()
@@ -301,9 +298,12 @@
     def _random_gateway(self) -> str:
         return self._rng.choice(list(self.deployment.gateways))
 
-    async def _restart(self, name: str) -> None:
+    async def _end_and_restart(self, name: str, signal_number: int) -> None:
         self._record_disturbance()
-        while self._launcher.is_alive(name):
+        process_id = self._launcher.pid(name)
+        self._launcher.signal(name, signal_number)
+        # An overlapping fault may restart the gateway first.
+        while self._launcher.is_alive(name) and self._launcher.pid(name) == process_id:
             await asyncio.sleep(0.05)
         await asyncio.sleep(self._rng.uniform(0.0, 0.5))
         if not self._launcher.is_alive(name):
