Count repeated arrivals in the fault soak

Nothing compared what reached the servers of a service with the retry budget, so a soak could not find repeats beyond it. Servers fail a share of their requests, by a lost connection or with 500, all gateways are killed together, and each 10 s of arrivals beyond the first of each request are checked against 0.2 of the requests and 60. Routes have four attempts, as two can't reach the budget.

--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import random
 import signal
 import time
 from collections.abc import Callable
@@ -39,6 +40,8 @@
     limit_per_s: float | None = None
     leaving: bool = False
     backoff_s: float = 0.0
+    lose_share: float = 0.0
+    error_share: float = 0.0
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     sequence: int = 0
     isLeaf = True  # noqa: N815
@@ -47,6 +50,7 @@
         Resource.__init__(self)
         self._running: dict[Request, Any] = {}
         self._queue: list[Request] = []
+        self._rng = random.Random(self.target_id)
 
     def apply_settings(self, item: dict[str, Any]) -> None:
         """Apply the settings that can change while the server runs."""
@@ -54,6 +58,8 @@
         self.limit_per_s = item.get("limit_per_s")
         self.leaving = item.get("leaving", False)
         self.backoff_s = item.get("rest_s", 0.0)
+        self.lose_share = item.get("lose_share", 0.0)
+        self.error_share = item.get("error_share", 0.0)
 
     def spec(self) -> dict[str, Any]:
         """Return the spec of the next registration."""
@@ -113,13 +119,18 @@
 
     def _complete(self, request: Request) -> None:
         self._running.pop(request, None)
+        if self._rng.random() < self.lose_share:
+            request.loseConnection()
+            self._start_queued()
+            return
         request_id = request.getHeader(b"x-request-id") or b""
         headers = {
             b"X-Response-Signature": b"s-" + request_id,
             b"X-Request-Id": request_id,
             **self._notices(),
         }
-        _answer(request, 200, headers, b"body of %b by %b" % (request_id, self.service.encode()))
+        status = 500 if self._rng.random() < self.error_share else 200
+        _answer(request, status, headers, b"body of %b by %b" % (request_id, self.service.encode()))
         self._start_queued()
 
     def _disconnected(self, _: object, request: Request) -> None:
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -12,6 +12,7 @@
 from tools.faultsoak import LOST_REVISIONS, FaultSoak
 from tools.soaknotices import AdvertisedLeaving, AdvertisedLimit
 from tools.soakparts import CallResult
+from tools.soakretries import RetryBound, RetryFaults
 
 REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
     (1, "the short run for CI; it has had no findings so far"),
@@ -145,6 +146,26 @@
             notices._fault_ends["g0"].append(103.0)
             self.assertEqual([], list(notices.check(soak.results)))
 
+    def test_repeated_arrivals_above_the_budget_are_found(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            bound = RetryBound(ratio=0.5, slack=2.0, window=4.0)
+            soak = FaultSoak(1, 1.0, 1, Path(folder))
+            soak.retries = RetryFaults(random.Random(1), soak.deployment, FakeLauncher(), bound)
+            soak.deployment.targets_by_process["targets0"] = [{"id": "t", "service": "s0"}]
+            soak.results = [
+                CallResult(f"r{n}", "/base/again/", False, "g0", 100.0 + n) for n in range(4)
+            ]
+            ledger = Path(folder) / "targets0.runs"
+            for repeats, findings in ((4, 0), (5, 1)):
+                rows = [
+                    {"what": "arrival", "id": f"r{n % 4}", "target": "t", "at": 103.0 + n / 10.0}
+                    for n in range(4 + repeats)
+                ]
+                ledger.write_text("".join(json.dumps(row) + "\n" for row in rows))
+                with self.subTest(repeats=repeats):
+                    found = list(soak.retries.check(soak.results))
+                    self.assertEqual(findings, len(found), found)
+
     def test_requests_to_leaving_or_backing_off_servers_are_found(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             soak = FaultSoak(1, 1.0, 1, Path(folder))
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -1,9 +1,10 @@
 """``make faultsoak SEED=n``: inject faults into gateway processes and check what callers get.
 
 Processes are killed, paused, stopped and restarted; proxies delay, reset, refuse and black-hole
-connections to the store and to backend servers; the store is unavailable, loses responses or
-returns from an older copy. The same seed makes the same faults at the same times. Each violated
-guarantee is printed with its request, the logs are kept, and the exit code is 1.
+connections to the store and to backend servers; servers fail requests; the store is unavailable,
+loses responses or returns from an older copy. The same seed makes the same faults at the same
+times. Each violated guarantee is printed with its request, the logs are kept, and the exit code
+is 1.
 """
 
 import argparse
@@ -37,6 +38,7 @@
     SoakDeployment,
     call_store,
 )
+from tools.soakretries import RetryFaults  # noqa: E402
 
 __all__ = ["FaultSoak", "main"]
 
@@ -69,9 +71,17 @@
         Guarantees that were violated.
     """
 
-    def __init__(self, seed: int, seconds: float, gateways: int, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        gateways: int,
+        folder: Path,
+        callers: int = CALLER_COUNT,
+    ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
+        self._caller_count = callers
         self.deployment = SoakDeployment(folder)
         self.deployment.allocate_ports(gateways, 2)
         self._launcher = Launcher(folder)
@@ -84,6 +94,7 @@
         self._drained_targets: list[tuple[float, str]] = []
         self._callers: list[Caller] = []
         self._notices = NoticeFaults(self._rng, self.deployment, self._launcher)
+        self.retries = RetryFaults(self._rng, self.deployment, self._launcher)
 
     async def run(self) -> None:
         """Start the deployment, inject faults under load, stop it and check the results."""
@@ -102,7 +113,7 @@
             until = time.time() + self._seconds
             self._callers = [
                 Caller(n, self.deployment, random.Random(self._rng.random()), self.results)
-                for n in range(CALLER_COUNT)
+                for n in range(self._caller_count)
             ]
             caller_tasks = [asyncio.ensure_future(caller.run(until)) for caller in self._callers]
             await self._inject_faults(until - SETTLING_TIME_S)
@@ -118,6 +129,7 @@
         """Start overlapping faults until the given time, then wait until all have ended."""
         kinds: list[Callable[[], Awaitable[None]]] = [
             self._kill_gateway,
+            self.kill_all_gateways,
             self._stop_gateway,
             self._pause_gateway,
             self._reload_gateway,
@@ -131,6 +143,7 @@
             self._notices.advertise_limit,
             self._notices.advertise_leaving,
             self._notices.request_backoff,
+            self.retries.fail_requests,
         ]
         fault_tasks: list[asyncio.Future[None]] = []
         while time.time() < until:
@@ -143,6 +156,11 @@
     async def _kill_gateway(self) -> None:
         await self._end_and_restart(self._random_gateway(), signal.SIGKILL)
 
+    async def kill_all_gateways(self) -> None:
+        """Kill all gateways at the same time and start them again."""
+        names = list(self.deployment.gateways)
+        await asyncio.gather(*(self._end_and_restart(name, signal.SIGKILL) for name in names))
+
     async def _stop_gateway(self) -> None:
         name = self._random_gateway()
         if self._rng.random() < 0.5:
@@ -343,7 +361,7 @@
                     "latencyGoalMs": 400,
                     "priority": 1,
                     "service": SERVICES[number % len(SERVICES)],
-                    "attempts": 2,
+                    "attempts": 4,
                     "sticky": True,
                 }
                 resources.append(
@@ -409,6 +427,7 @@
                 self.findings.append(f"a run without a request of a caller: {request_id}")
             self._check_drain(request_id, rows)
         self.findings.extend(self._notices.check(self.results))
+        self.findings.extend(self.retries.check(self.results))
         answered = sum(result.status == 200 for result in self.results)
         if answered * 2 < len(self.results):
             self.findings.append(f"only {answered} of {len(self.results)} requests were answered")
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -121,6 +121,17 @@
         """Return the requests that reached a target, including those that it rejected."""
         return self._rows_of_target(ARRIVAL, target_id)
 
+    def arrivals_of_service(self, service: str) -> list[dict[str, Any]]:
+        """Return the requests that reached any target of a service, in order of time."""
+        targets = {
+            item["id"]
+            for items in self.targets_by_process.values()
+            for item in items
+            if item["service"] == service
+        }
+        rows = [row for row in self._rows(ARRIVAL) if row["target"] in targets]
+        return sorted(rows, key=itemgetter("at"))
+
     def backoffs(self, target_id: str) -> list[dict[str, Any]]:
         """Return the requests that a target rejected with a request to back off."""
         return self._rows_of_target(BACKOFF, target_id)
@@ -171,7 +182,15 @@
 
 
 class Caller:
-    """Looks up a gateway, sends several requests over one connection and records the results."""
+    """Looks up a gateway, sends several requests over one connection and records the results.
+
+    Attributes
+    ----------
+    once_share : float
+        Share of the requests that must not be repeated.
+    """
+
+    once_share = 0.4
 
     def __init__(
         self, number: int, deployment: SoakDeployment, rng: Any, results: list[CallResult]
@@ -194,7 +213,7 @@
 
     async def _send_request(self) -> None:
         self._count += 1
-        once = self._rng.random() < 0.4
+        once = self._rng.random() < self.once_share
         kind = ONCE if once else REPEAT
         path = f"{self._rng.choice(self.paths)}{kind}/"
         request_id = f"{kind}-{self._number}-{self._count}"
--- /dev/null
+++ b/tools/soakretries.py
@@ -0,0 +1,135 @@
+"""Fault soak: servers fail requests, and the repeated arrivals are counted."""
+
+import asyncio
+import random
+import signal
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from standins.launcher import Launcher
+from tools.soakparts import SERVICES, CallResult, SoakDeployment
+
+__all__ = ["ERROR", "LOST", "RetryBound", "RetryFaults", "WindowUsage"]
+
+LOST, ERROR = "lose_share", "error_share"
+"""Settings of a server: shares of its requests whose connection it closes without a response, or
+which it answers with status 500."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryBound:
+    """The most arrivals beyond the first of each request that a service may get in a window.
+
+    Attributes
+    ----------
+    ratio, slack : float
+        Allowed per request for the service, and in addition to that.
+    window : float
+        Seconds.
+    """
+
+    ratio: float = 0.2
+    slack: float = 60.0
+    window: float = 10.0
+
+    def allowed(self, requests: Sequence[float], end: float) -> float:
+        """Return what is allowed in the window that ends at a time.
+
+        Requests count that were sent in this window, the one before or the one between them,
+        whichever has most.
+
+        Parameters
+        ----------
+        requests : sequence of float
+            Times at which requests for the service were sent.
+        """
+        ends = (end, end - self.window / 2.0, end - self.window)
+        most = max(sum(e - self.window <= at <= e for at in requests) for e in ends)
+        return self.ratio * most + self.slack
+
+
+@dataclass(frozen=True, slots=True)
+class WindowUsage:
+    """Repeated arrivals at one service in the window that ends at a Unix time in seconds."""
+
+    service: str
+    end: float
+    repeats: int
+    allowed: float
+
+
+class RetryFaults:
+    """Makes servers fail requests, and compares the repeated arrivals with the retry budget."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        deployment: SoakDeployment,
+        launcher: Launcher,
+        bound: RetryBound | None = None,
+    ) -> None:
+        self._rng = rng
+        self._deployment = deployment
+        self._launcher = launcher
+        self._bound = bound or RetryBound()
+
+    async def fail_requests(self) -> None:
+        """Let all servers of one process fail a share of their requests for some seconds."""
+        process = self._rng.choice(list(self._deployment.targets_by_process))
+        failure = self._rng.choice((LOST, ERROR))
+        self.set_failures(process, failure, self._rng.uniform(0.1, 0.8))
+        await asyncio.sleep(self._rng.uniform(1.0, 6.0))
+        self.set_failures(process, failure, 0.0)
+
+    def set_failures(self, process: str, failure: str, share: float) -> None:
+        """Let the servers of a process lose responses (:data:`LOST`) or fail (:data:`ERROR`)."""
+        for item in self._deployment.targets_by_process[process]:
+            item[failure] = share
+        self._deployment.write_targets(process)
+        self._launcher.signal(process, signal.SIGHUP)
+
+    def worst_windows(self, results: Sequence[CallResult]) -> list[WindowUsage]:
+        """Return for each service the window with the most repeats relative to the bound."""
+        requests: dict[str, list[float]] = defaultdict(list)
+        for result in results:
+            requests[service_of_path(result.path)].append(result.sent)
+        worst = []
+        for service in SERVICES:
+            repeats = self._repeats(service)
+            usages = [self._usage(service, repeats, requests[service], end) for end in repeats]
+            if usages:
+                worst.append(max(usages, key=lambda usage: usage.repeats / usage.allowed))
+        return worst
+
+    def check(self, results: Sequence[CallResult]) -> Iterator[str]:
+        """Yield the services whose repeated arrivals exceeded the budget."""
+        for usage in self.worst_windows(results):
+            if usage.repeats > usage.allowed:
+                yield (
+                    f"{usage.service} got {usage.repeats} repeated requests in "
+                    f"{self._bound.window:g} s up to {usage.end:.3f}, allowed {usage.allowed:.1f}"
+                )
+
+    def _usage(
+        self, service: str, repeats: Sequence[float], requests: Sequence[float], end: float
+    ) -> WindowUsage:
+        count = sum(end - self._bound.window <= at <= end for at in repeats)
+        return WindowUsage(service, end, count, self._bound.allowed(requests, end))
+
+    def _repeats(self, service: str) -> list[float]:
+        """Return the times of all arrivals at a service but the first of each request."""
+        seen: set[str] = set()
+        repeats = []
+        for row in self._deployment.arrivals_of_service(service):
+            if row["id"] in seen:
+                repeats.append(row["at"])
+            seen.add(row["id"])
+        return repeats
+
+
+def service_of_path(path: str) -> str:
+    """Return the service to which the policy of the fault soak routes a path."""
+    prefix = path.split("/")[1]
+    number = 0 if prefix == "base" else int(prefix.removeprefix("v")) - 1
+    return SERVICES[number % len(SERVICES)]
