Log and measure the state of the retry budgets

Nothing showed which share of a retry budget an entry holds, by how many it divides the slack, how much it used and which of its retries may still be under way, so three causes of repeats beyond the budget could not be told apart. Budgets return each retry that they allow now and know when no attempt of its request is unanswered any more; what is allowed stays the same.

--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -25,6 +25,7 @@
     page.value("open_requests", len(gateway.open_exchanges))
     page.value("target_connections_total", gateway.pool.created)
     _add_targets(page, gateway)
+    _add_retries(page, gateway)
     page.value("entries_live", len(gateway.entry_ids))
     page.value("configuration_version", gateway.steering.version)
     _add_store(page, gateway)
@@ -56,6 +57,16 @@
         page.value("in_flight", sum(target.load for target in targets), service=service)
 
 
+def _add_retries(page: Exposition, gateway: "Gateway") -> None:
+    budgets = gateway.steering.retry_budgets
+    for service, usage in budgets.usage_by_service(gateway.pool.seconds()).items():
+        page.value("retries_used", usage.retries, service=service)
+        page.value("retries_unanswered", usage.unanswered, service=service)
+        page.value("retries_allowed", usage.allowed, service=service)
+    page.values("retry_refusals_total", "service", budgets.refusals_by_service)
+    page.value("retry_entries", budgets.entries)
+
+
 def _add_store(page: Exposition, gateway: "Gateway") -> None:
     now = gateway.pool.seconds()
     for kind, sync in gateway.syncs.items():
--- a/briarspur/gateway/retrybudget.py
+++ b/briarspur/gateway/retrybudget.py
@@ -1,13 +1,54 @@
 """One entry's share of the retries that all entries together may send to a service."""
 
 from collections import deque
+from dataclasses import dataclass
 
-__all__ = ["RetryBudget"]
+__all__ = ["BudgetUsage", "Retry", "RetryBudget"]
 
 USED_SHARE = 0.8
 """Share of the allowance that is used; the remainder covers entries that are not known yet."""
 
 
+@dataclass(slots=True, eq=False)
+class Retry:
+    """A retry that a budget allowed; times in seconds on the caller's clock.
+
+    Attributes
+    ----------
+    ended_at : float or None
+        When no attempt of its request was unanswered any more; None before that.
+    """
+
+    started_at: float
+    ended_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetUsage:
+    """The state of a budget.
+
+    Attributes
+    ----------
+    requests, retries : int
+        Requests that callers sent and retries that were allowed in the window.
+    unanswered : int
+        Those of the retries that may not have arrived at a server yet.
+    allowed : float
+        Retries that the budget allows in the window.
+    """
+
+    requests: int
+    retries: int
+    unanswered: int
+    allowed: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.retries} of {self.allowed:.1f} retries used for {self.requests} requests, "
+            f"{self.unanswered} unanswered"
+        )
+
+
 class RetryBudget:
     """Counts requests and retries of one service in a sliding window.
 
@@ -26,16 +67,16 @@
         self._window = window
         self._slack = slack
         self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._retries: deque[Retry] = deque()
 
     def request_arrived(self, now: float) -> None:
         """Count a request that a caller sent."""
         self._requests.append(now)
         if len(self._requests) & 63 == 0:
-            _drop_before(self._requests, now - self._window)
+            self._drop_expired(now)
 
-    def take(self, now: float, entries: int, share: float = 1.0) -> bool:
-        """Count a retry and return whether the budget allows it.
+    def take(self, now: float, entries: int, share: float = 1.0) -> Retry | None:
+        """Count a retry and return it, or None if the budget does not allow it.
 
         Parameters
         ----------
@@ -44,15 +85,27 @@
         share : float
             Share of the allowance that this retry may use.
         """
-        _drop_before(self._requests, now - self._window)
-        _drop_before(self._retries, now - self._window)
-        allowance = self._ratio * len(self._requests) + self._slack / max(1, entries)
-        if len(self._retries) + 1 > USED_SHARE * share * allowance:
-            return False
-        self._retries.append(now)
-        return True
-
-
-def _drop_before(times: deque[float], oldest: float) -> None:
-    while times and times[0] < oldest:
-        times.popleft()
+        self._drop_expired(now)
+        if len(self._retries) + 1 > share * self._allowed(entries):
+            return None
+        retry = Retry(now)
+        self._retries.append(retry)
+        return retry
+
+    def usage(self, now: float, entries: int) -> BudgetUsage:
+        """Return the state of the budget."""
+        self._drop_expired(now)
+        unanswered = sum(retry.ended_at is None for retry in self._retries)
+        return BudgetUsage(
+            len(self._requests), len(self._retries), unanswered, self._allowed(entries)
+        )
+
+    def _allowed(self, entries: int) -> float:
+        return USED_SHARE * (self._ratio * len(self._requests) + self._slack / max(1, entries))
+
+    def _drop_expired(self, now: float) -> None:
+        oldest = now - self._window
+        while self._requests and self._requests[0] < oldest:
+            self._requests.popleft()
+        while self._retries and self._retries[0].started_at < oldest:
+            self._retries.popleft()
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -16,7 +16,7 @@
 from briarspur.gateway.loadview import LoadView
 from briarspur.gateway.outcome import NOT_RUN, UNSENT, Outcome
 from briarspur.gateway.quotas import Quotas
-from briarspur.gateway.retrybudget import RetryBudget
+from briarspur.gateway.retrybudgets import RetryBudgets
 from briarspur.gateway.serverlimits import ServerLimits
 from briarspur.gateway.servernotice import FROM_ANSWER, ReportedNotices, ServerNotice
 from briarspur.gateway.target import Target
@@ -79,14 +79,11 @@
         self.work_times = WorkTimes()
         self.entries: list[str] = [entry_id]
         self.authorization = Authorization(bounds)
-        # A limit is divided by the number of recorded entries, not of entries that appear live. An
-        # entry that is shutting down, whose news is late or that is still unknown here sends
-        # retries too; with a smaller divisor the shares would add up to more than the limit.
-        self.fleet_size = 1
+        self.retry_budgets = RetryBudgets(
+            bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
+        )
         self._chooser = Chooser(self.work_times, self.transit)
-        self._bounds = bounds
         self._turns_by_route: dict[str, tuple[Route, WeightedRoundRobin]] = {}
-        self._retry_budget_by_service: dict[str, RetryBudget] = {}
 
     # Current configuration and fleet
 
@@ -114,7 +111,7 @@
 
     def set_recorded_fleet_size(self, size: int) -> None:
         """Set the number of entries that are recorded in the store."""
-        self.fleet_size = size
+        self.retry_budgets.entries = size
         self.quotas.recorded = size
         self.limits.recorded = size
 
@@ -143,7 +140,7 @@
             return Refused(Code.QUOTA_SPENT, over.retry_after, over.detail)
         time_budget = min(arrival.timeout, route.timeout)
         service = self._turns(route).next()
-        self._retry_budget(service).request_arrived(now)
+        self.retry_budgets.request_arrived(service, now)
         key = None if arrival.key is None else object_key(route.name, arrival.key)
         return Work(
             request_id=arrival.request_id,
@@ -193,7 +190,7 @@
         if not work.route.repeatable or work.hedged or work.sent >= work.route.attempts:
             return None
         work.hedged = True
-        if not self._retry_budget(work.service).take(now, self.fleet_size, HEDGE_SHARE):
+        if not self._take_retry(work, now, HEDGE_SHARE):
             return None
         attempt = self.next_attempt(work, now)
         return attempt if isinstance(attempt, Attempt) else None
@@ -238,6 +235,7 @@
         if attempt.ended:
             return
         attempt.ended = True
+        self._end_retries(attempt.work, now)
         target = attempt.target
         target.in_flight -= 1
         if outcome in UNSENT:
@@ -271,9 +269,9 @@
         if not proven and not work.route.repeatable:
             return None
         if outcome not in UNSENT:
-            spent = self._spend_retry(work, now)
-            if spent is not None:
-                return Refused(spent, self._retry_after(work, now)) if proven else None
+            refused = self._spend_retry(work, now)
+            if refused is not None:
+                return refused if proven else None
         attempt = self.next_attempt(work, now)
         if isinstance(attempt, Refused) and not proven:
             return None
@@ -299,14 +297,29 @@
         criteria = replace(criteria, full=[t for t in targets if self.limits.is_limited(t)])
         return self._chooser.choose(criteria, targets, epoch, now)
 
-    def _spend_retry(self, work: Work, now: float) -> Code | None:
-        """Take one retry from the budget; return the code that forbids it, None if allowed."""
+    def _spend_retry(self, work: Work, now: float) -> Refused | None:
+        """Take one retry from the budget; return the refusal if it is not allowed."""
         if work.sent >= work.route.attempts:
-            return Code.ATTEMPTS_SPENT
-        if not self._retry_budget(work.service).take(now, self.fleet_size):
-            return Code.RETRY_BUDGET_SPENT
+            return Refused(Code.ATTEMPTS_SPENT, self._retry_after(work, now))
+        if not self._take_retry(work, now):
+            usage = self.retry_budgets.usage(work.service, now)
+            return Refused(Code.RETRY_BUDGET_SPENT, self._retry_after(work, now), str(usage))
         return None
 
+    def _take_retry(self, work: Work, now: float, share: float = 1.0) -> bool:
+        retry = self.retry_budgets.take(work.service, now, share)
+        if retry is not None:
+            work.retries.append(retry)
+        return retry is not None
+
+    def _end_retries(self, work: Work, now: float) -> None:
+        """End the retries of a request with its last unanswered attempt."""
+        work.unanswered -= 1
+        if work.unanswered == 0:
+            for retry in work.retries:
+                if retry.ended_at is None:
+                    retry.ended_at = now
+
     def _record_usage_change(self, number: int, change: int) -> None:
         self.quotas.received(number, change)
         self.limits.received(number, change)
@@ -326,6 +339,7 @@
         if first and work.key is not None:
             self.loads.record_own_warmed(target.number, work.key)
         work.tried.append(target)
+        work.unanswered += 1
         return Attempt(
             work=work,
             target=target,
@@ -402,11 +416,3 @@
         turns = WeightedRoundRobin(route.parts)
         self._turns_by_route[route.name] = (route, turns)
         return turns
-
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budget_by_service.get(service)
-        if budget is None:
-            bounds = self._bounds
-            budget = RetryBudget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
-            self._retry_budget_by_service[service] = budget
-        return budget
--- a/briarspur/gateway/work.py
+++ b/briarspur/gateway/work.py
@@ -6,6 +6,7 @@
 from briarspur.codes import Code
 from briarspur.gateway.configuration import Route
 from briarspur.gateway.customers import Customer
+from briarspur.gateway.retrybudget import Retry
 from briarspur.gateway.target import Target
 
 __all__ = [
@@ -100,6 +101,10 @@
     regions : frozenset of str or None
         Regions that both its route and its customer allow, empty if any region is allowed; None if
         they have no region in common.
+    unanswered : int
+        Attempts that have not ended.
+    retries : list of Retry
+        Retries that the budget of its service allowed.
     """
 
     request_id: str
@@ -115,6 +120,8 @@
     tried: list[Target] = field(default_factory=list)
     sent: int = 0
     hedged: bool = False
+    unanswered: int = 0
+    retries: list[Retry] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -54,6 +54,9 @@
     "store-era": "the store returned from an older copy of its objects, or was read first",
     "store-lost": "the store does not respond for one kind of object",
     "store-regained": "the store responds again; after how many seconds",
+    "retry-budget-spent": (
+        "a service's retry budget allowed no further retry; with the state of this entry's share"
+    ),
     "record-not-written": "this entry could not write its record to the store; it will retry",
     "entry-forgotten": "the record of an entry that had been silent for minutes was deleted",
     "record-lost": "the store no longer has the record of this entry, which writes it again",
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -8,7 +8,10 @@
 
 from briarspur.gateway.breaker import MIN_PAUSE_S, Breaker
 from briarspur.gateway.coldstart import cold_bucket
+from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.retrybudget import RetryBudget
+from briarspur.gateway.retrybudgets import RetryBudgets
+from tests.gateway.samples import begun, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None)
 
@@ -49,15 +52,43 @@
         budgets = [RetryBudget(0.2, 10.0, 60.0) for _ in range(fleet)]
         for number in range(requests):
             budgets[number % fleet].request_arrived(number * 0.001)
-        retries = sum(sum(b.take(1.0, fleet) for _ in range(500)) for b in budgets)
+        retries = sum(sum(b.take(1.0, fleet) is not None for _ in range(500)) for b in budgets)
         self.assertLessEqual(retries, 0.2 * requests + 60.0)
 
     def test_the_window_slides(self) -> None:
         budget = RetryBudget(0.0, 10.0, 5.0)
-        self.assertEqual(4, sum(budget.take(0.0, 1) for _ in range(10)))
+        self.assertEqual(4, sum(budget.take(0.0, 1) is not None for _ in range(10)))
         self.assertFalse(budget.take(9.9, 1))
         self.assertTrue(budget.take(10.1, 1))
 
+    def test_a_spent_budget_tells_its_state(self) -> None:
+        budgets = RetryBudgets(0.2, 10.0, 20.0)
+        budgets.entries = 4
+        for number in range(10):
+            budgets.request_arrived("info", number * 0.1)
+        retries = [budgets.take("info", 1.0) for _ in range(10)]
+        assert retries[0] is not None
+        retries[0].ended_at = 1.5
+        self.assertEqual(5, budgets.refusals_by_service["info"])
+        self.assertEqual(
+            "5 of 5.6 retries used for 10 requests, 4 unanswered", str(budgets.usage("info", 2.0))
+        )
+
+
+class RetriesOfARequestTest(unittest.TestCase):
+    """Which retries may still arrive at a server."""
+
+    def test_a_hedge_is_unanswered_until_both_attempts_have_ended(self) -> None:
+        core = steering(3)
+        work = begun(core)
+        first = sent(core, work)
+        second = core.hedge(work, 1.0)
+        assert second is not None
+        core.attempt_ended(second, Outcome.ANSWERED, 1.2)
+        self.assertEqual(1, core.retry_budgets.usage("info", 1.2).unanswered)
+        core.attempt_ended(first, Outcome.ABANDONED, 1.2)
+        self.assertEqual(0, core.retry_budgets.usage("info", 1.2).unanswered)
+
 
 class BreakerTest(unittest.TestCase):
     """One request at a time tests whether a server has recovered."""
