Give an entry no share of the retry slack in the first window after its start

A process that starts knew nothing of what the process before it had sent and had its whole share of the slack anew; the log lines of the budgets show 8 of 8.5 retries used within a second of each of four starts. An entry uses slack only once its own record has been known to it for a window: by then the retries of its former process, and those that others sent while they divided by fewer entries, have left the window. Retries by the share of its own requests stay. The sum no longer depends on how often entries restart.

Without a restart, and later, nothing changes.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -1,6 +1,7 @@
 """The gateway process: creates and connects its components."""
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter
@@ -99,6 +100,7 @@
             settings.zone_regions,
             _bounds(settings.bounds),
         )
+        self.steering.retry_budgets.recorded_at = math.inf
         self.steering.quotas.started = self._reactor.seconds()
         self.steering.quotas.start_duration = starting_s
         self.log = RequestLog(self._reactor.seconds, lambda: self.following.confirmed_age())
--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -162,7 +162,10 @@
         if result.is_error():
             self._record_malformed(Kind.ENTRIES, change, result.error)
             return
-        self._fleet.recorded(result.ok, self._clock())
+        now = self._clock()
+        self._fleet.recorded(result.ok, now)
+        if change.name == self._fleet.own_record.entry_id:
+            self._steering.retry_budgets.record_found(now)
         self._steering.set_recorded_fleet_size(self._fleet.size)
 
     def _apply_reservations(self, change: StoredChange) -> None:
--- a/briarspur/gateway/retrybudget.py
+++ b/briarspur/gateway/retrybudget.py
@@ -75,13 +75,13 @@
         if len(self._requests) & 63 == 0:
             self._drop_expired(now)
 
-    def take(self, now: float, entries: int, share: float = 1.0) -> Retry | None:
+    def take(self, now: float, entries: float, share: float = 1.0) -> Retry | None:
         """Count a retry and return it, or None if the budget does not allow it.
 
         Parameters
         ----------
-        entries : int
-            Number of entries that share the slack.
+        entries : float
+            Number of entries that share the slack; infinite if this entry has no share.
         share : float
             Share of the allowance that this retry may use.
         """
@@ -92,7 +92,7 @@
         self._retries.append(retry)
         return retry
 
-    def usage(self, now: float, entries: int) -> BudgetUsage:
+    def usage(self, now: float, entries: float) -> BudgetUsage:
         """Return the state of the budget."""
         self._drop_expired(now)
         unanswered = sum(retry.ended_at is None for retry in self._retries)
@@ -100,7 +100,7 @@
             len(self._requests), len(self._retries), unanswered, self._allowed(entries)
         )
 
-    def _allowed(self, entries: int) -> float:
+    def _allowed(self, entries: float) -> float:
         return USED_SHARE * (self._ratio * len(self._requests) + self._slack / max(1, entries))
 
     def _drop_expired(self, now: float) -> None:
--- a/briarspur/gateway/retrybudgets.py
+++ b/briarspur/gateway/retrybudgets.py
@@ -1,5 +1,6 @@
 """One entry's retry budgets of all services."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 
@@ -30,6 +31,9 @@
     ----------
     entries : int
         Number of entries that share the slack.
+    recorded_at : float
+        When this entry's record was first known to be in the store; infinite before that, and minus
+        infinity if the entry has run for long.
     refusals_by_service : Counter
         Retries that the budget did not allow.
     """
@@ -37,6 +41,9 @@
     # The slack is divided by the number of recorded entries, not of entries that appear live. An
     # entry that is shutting down, whose news is late or that is still unknown here sends retries
     # too; with a smaller divisor the shares would add up to more than the limit.
+    #
+    # An entry uses no slack until its record has been known for a window. Before that, its former
+    # process may have used the same share, or the other entries that of a smaller divisor.
 
     def __init__(self, ratio: float, window: float, slack: float) -> None:
         self._ratio = ratio
@@ -44,8 +51,13 @@
         self._slack = slack
         self._by_service: dict[str, _ServiceBudget] = {}
         self.entries = 1
+        self.recorded_at = -math.inf
         self.refusals_by_service: Counter[str] = Counter()
 
+    def record_found(self, now: float) -> None:
+        """Record that this entry's record is in the store."""
+        self.recorded_at = min(self.recorded_at, now)
+
     def request_arrived(self, service: str, now: float) -> None:
         """Count a request that a caller sent."""
         self._budget(service).budget.request_arrived(now)
@@ -59,7 +71,7 @@
             Share of the allowance that this retry may use.
         """
         found = self._budget(service)
-        retry = found.budget.take(now, self.entries, share)
+        retry = found.budget.take(now, self._divisor(now), share)
         if retry is None:
             self.refusals_by_service[service] += 1
             self._log_refusal(service, found, now)
@@ -67,12 +79,15 @@
 
     def usage(self, service: str, now: float) -> BudgetUsage:
         """Return the state of a service's budget."""
-        return self._budget(service).budget.usage(now, self.entries)
+        return self._budget(service).budget.usage(now, self._divisor(now))
 
     def usage_by_service(self, now: float) -> dict[str, BudgetUsage]:
         """Return the state of the budgets of all services that had requests."""
         return {service: self.usage(service, now) for service in sorted(self._by_service)}
 
+    def _divisor(self, now: float) -> float:
+        return self.entries if now >= self.recorded_at + self._window else math.inf
+
     def _budget(self, service: str) -> _ServiceBudget:
         found = self._by_service.get(service)
         if found is None:
@@ -85,7 +100,7 @@
         if now - found.logged_at < self._window:
             return
         found.logged_at = now
-        usage = found.budget.usage(now, self.entries)
+        usage = found.budget.usage(now, self._divisor(now))
         logs.event(
             "retry-budget-spent",
             service=service,
@@ -93,5 +108,5 @@
             retries=usage.retries,
             unanswered=usage.unanswered,
             allowed=f"{usage.allowed:.1f}",
-            entries=self.entries,
+            entries=self._divisor(now),
         )
--- a/tests/gateway/test_applier.py
+++ b/tests/gateway/test_applier.py
@@ -1,5 +1,6 @@
 """Tests of how changes of the store's objects are applied."""
 
+import math
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -106,6 +107,15 @@
         self.applier.apply(Kind.CONFIGURATION, [StoredChange("main", 5, value)], ChangeSource.WATCH)
         self.assertEqual((1, 1), (self.steering.version, self.applier.malformed_objects))
 
+    def test_the_own_record_starts_the_use_of_the_retry_slack(self) -> None:
+        budgets = self.steering.retry_budgets
+        budgets.recorded_at = math.inf
+        for at, name in ((1.0, "other"), (2.0, "me"), (3.0, "me")):
+            self.now = at
+            change = StoredChange(name, 1, entry_value())
+            self.applier.apply(Kind.ENTRIES, [change], ChangeSource.WATCH)
+        self.assertEqual(2.0, budgets.recorded_at)
+
     def test_the_retry_budget_is_divided_by_all_recorded_entries(self) -> None:
         """Guard against too many retries when a third of the fleet is stopped one after another.
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -1,5 +1,6 @@
 """Tests of limits on all entries together: cold servers, retries, failing servers."""
 
+import math
 import unittest
 from collections import defaultdict
 
@@ -61,6 +62,16 @@
         self.assertFalse(budget.take(9.9, 1))
         self.assertTrue(budget.take(10.1, 1))
 
+    def test_an_entry_has_its_share_of_the_slack_a_window_after_its_record(self) -> None:
+        budgets = RetryBudgets(0.2, 10.0, 60.0)
+        budgets.entries = 10
+        budgets.recorded_at = math.inf
+        self.assertIsNone(budgets.take("info", 100.0))
+        budgets.record_found(100.0)
+        budgets.record_found(105.0)
+        self.assertIsNone(budgets.take("info", 109.9))
+        self.assertIsNotNone(budgets.take("info", 110.0))
+
     def test_a_spent_budget_tells_its_state(self) -> None:
         budgets = RetryBudgets(0.2, 10.0, 20.0)
         budgets.entries = 4
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -12,13 +12,14 @@
 from tools.faultsoak import LOST_REVISIONS, FaultSoak
 from tools.soaknotices import AdvertisedLeaving, AdvertisedLimit
 from tools.soakparts import CallResult
-from tools.soakretries import RetryBound, RetryFaults
+from tools.soakretries import ERROR, RetryBound, RetryFaults
 
 REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
     (1, "the short run for CI; it has had no findings so far"),
 )
 """Seeds, each with a line on its findings."""
 DURATION_S = 9.0
+RESTART_DURATION_S = 20.0
 STORE_RETURN_SEED = 3
 STORE_RETURN_DURATION_S = 14.0
 
@@ -32,6 +33,20 @@
         await asyncio.sleep(max(0.0, until - time.time()))
 
 
+class RestartSoak(FaultSoak):
+    """A run in which all servers fail nearly all requests and all gateways restart together."""
+
+    async def _inject_faults(self, until: float) -> None:
+        for process in self.deployment.targets_by_process:
+            self.retries.set_failures(process, ERROR, 0.95)
+        await asyncio.sleep(3.0)
+        for _ in range(3):
+            restart = asyncio.ensure_future(self.kill_all_gateways())
+            await asyncio.sleep(2.5)
+        await restart
+        await asyncio.sleep(max(0.0, until - time.time()))
+
+
 class FakeLauncher:
     """A launcher whose only process ends some time after each signal."""
 
@@ -78,6 +93,15 @@
             asyncio.run(soak.run())
             self.assertEqual([], soak.findings)
 
+    def test_restarts_of_all_gateways_keep_the_retry_budget(self) -> None:
+        """Guards against processes that have all their retries anew at each start."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = RestartSoak(1, RESTART_DURATION_S, 6, Path(folder), callers=3)
+            soak.once_share = 0.0
+            asyncio.run(soak.run())
+            self.assertEqual([], list(soak.retries.check(soak.results)))
+            self.assertTrue(soak.retries.worst_windows(soak.results))
+
     def test_overlapping_faults_of_one_gateway_all_end(self) -> None:
         """Guards against a run that hangs as a fault waits for the restarted gateway to end."""
 
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -69,6 +69,8 @@
     ----------
     findings : list of str
         Guarantees that were violated.
+    once_share : float
+        Share of the requests that must not be repeated.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self._launcher = Launcher(folder)
         self.results: list[CallResult] = []
         self.findings: list[str] = []
+        self.once_share = 0.4
         self.faults: list[str] = []
         self._last_disturbance = 0.0
         self._version = 1
@@ -112,7 +115,13 @@
             await self._wait_until(self._all_ready)
             until = time.time() + self._seconds
             self._callers = [
-                Caller(n, self.deployment, random.Random(self._rng.random()), self.results)
+                Caller(
+                    n,
+                    self.deployment,
+                    random.Random(self._rng.random()),
+                    self.results,
+                    self.once_share,
+                )
                 for n in range(self._caller_count)
             ]
             caller_tasks = [asyncio.ensure_future(caller.run(until)) for caller in self._callers]
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -184,21 +184,25 @@
 class Caller:
     """Looks up a gateway, sends several requests over one connection and records the results.
 
-    Attributes
+    Parameters
     ----------
     once_share : float
         Share of the requests that must not be repeated.
     """
 
-    once_share = 0.4
-
     def __init__(
-        self, number: int, deployment: SoakDeployment, rng: Any, results: list[CallResult]
+        self,
+        number: int,
+        deployment: SoakDeployment,
+        rng: Any,
+        results: list[CallResult],
+        once_share: float,
     ) -> None:
         self._number = number
         self._deployment = deployment
         self._rng = rng
         self._results = results
+        self._once_share = once_share
         self._count = 0
         self.paths = ["/base/"]
         self._idle_connection: tuple[str, asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -213,7 +217,7 @@
 
     async def _send_request(self) -> None:
         self._count += 1
-        once = self._rng.random() < self.once_share
+        once = self._rng.random() < self._once_share
         kind = ONCE if once else REPEAT
         path = f"{self._rng.choice(self.paths)}{kind}/"
         request_id = f"{kind}-{self._number}-{self._count}"
