Round the entries' shares of a retry budget up or down by entry

Callers of small services, of large fleets and of fleets that have just started got no retry at all: an entry's share was rounded down, so an entry with less than seven requests and no slack had none, and 1,700 entries with a slack of 800 had none in all. Each entry adds a fixed number between 0 and 1, different for each entry and service, before it rounds down, so the shares add up to the allowance. A draw for each request would have let each entry have a whole retry before long.

The test allowed none before in any of its three fleets.

--- a/briarspur/gateway/retrybudget.py
+++ b/briarspur/gateway/retrybudget.py
@@ -60,12 +60,16 @@
     ----------
     window : float
         Length of the window in seconds.
+    rounding : float
+        From 0 to 1, uniformly distributed over entries: what is added to this entry's share before
+        it is rounded down. Without it, shares below one retry would never allow any.
     """
 
-    def __init__(self, ratio: float, window: float, slack: float) -> None:
+    def __init__(self, ratio: float, window: float, slack: float, rounding: float = 0.0) -> None:
         self._ratio = ratio
         self._window = window
         self._slack = slack
+        self._rounding = rounding
         self._requests: deque[float] = deque()
         self._retries: deque[Retry] = deque()
 
@@ -80,13 +84,13 @@
 
         Parameters
         ----------
-        entries : float
-            Number of entries that share the slack; infinite if this entry has no share.
+        divisor : float
+            By what the slack is divided; infinite if this entry has no share of it.
         share : float
             Share of the allowance that this retry may use.
         """
         self._drop_expired(now)
-        if len(self._retries) + 1 > share * self._allowed(entries):
+        if len(self._retries) + 1 > share * self._allowed(entries) + self._rounding:
             return None
         retry = Retry(now)
         self._retries.append(retry)
--- a/briarspur/gateway/retrybudgets.py
+++ b/briarspur/gateway/retrybudgets.py
@@ -3,12 +3,15 @@
 import math
 from collections import Counter
 from dataclasses import dataclass
+from zlib import crc32
 
 from briarspur import logs
 from briarspur.gateway.retrybudget import BudgetUsage, Retry, RetryBudget
 
 __all__ = ["RetryBudgets"]
 
+HASH_RANGE = 1 << 32
+
 
 @dataclass(slots=True)
 class _ServiceBudget:
@@ -45,7 +48,8 @@
     # An entry uses no slack until its record has been known for a window. Before that, its former
     # process may have used the same share, or the other entries that of a smaller divisor.
 
-    def __init__(self, ratio: float, window: float, slack: float) -> None:
+    def __init__(self, entry_id: str, ratio: float, window: float, slack: float) -> None:
+        self._entry_id = entry_id
         self._ratio = ratio
         self._window = window
         self._slack = slack
@@ -91,7 +95,9 @@
     def _budget(self, service: str) -> _ServiceBudget:
         found = self._by_service.get(service)
         if found is None:
-            found = _ServiceBudget(RetryBudget(self._ratio, self._window, self._slack))
+            rounding = crc32(f"{self._entry_id}/{service}".encode()) / HASH_RANGE
+            budget = RetryBudget(self._ratio, self._window, self._slack, rounding)
+            found = _ServiceBudget(budget)
             self._by_service[service] = found
         return found
 
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -80,7 +80,7 @@
         self.entries: list[str] = [entry_id]
         self.authorization = Authorization(bounds)
         self.retry_budgets = RetryBudgets(
-            bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
+            entry_id, bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
         )
         self._chooser = Chooser(self.work_times, self.transit)
         self._turns_by_route: dict[str, tuple[Route, WeightedRoundRobin]] = {}
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -62,8 +62,20 @@
         self.assertFalse(budget.take(9.9, 1))
         self.assertTrue(budget.take(10.1, 1))
 
+    def test_shares_below_one_retry_add_up_to_the_allowance(self) -> None:
+        """Guards against large fleets, or fleets that have just started, that never retry."""
+        for entries, slack, expected in ((10, 5.0, 4.0), (300, 90.0, 72.0), (1_700, 800.0, 640.0)):
+            allowed = 0
+            for number in range(entries):
+                budgets = RetryBudgets(f"e-{number}", 0.2, 10.0, slack)
+                budgets.entries = entries
+                allowed += sum(budgets.take("info", 1.0) is not None for _ in range(5))
+            with self.subTest(entries=entries):
+                self.assertLessEqual(abs(allowed - expected), 2.0 * math.sqrt(entries / 4.0))
+                self.assertLessEqual(allowed, slack)
+
     def test_an_entry_has_its_share_of_the_slack_a_window_after_its_record(self) -> None:
-        budgets = RetryBudgets(0.2, 10.0, 60.0)
+        budgets = RetryBudgets("e-1", 0.2, 10.0, 60.0)
         budgets.entries = 10
         budgets.recorded_at = math.inf
         self.assertIsNone(budgets.take("info", 100.0))
@@ -73,7 +85,7 @@
         self.assertIsNotNone(budgets.take("info", 110.0))
 
     def test_a_spent_budget_tells_its_state(self) -> None:
-        budgets = RetryBudgets(0.2, 10.0, 20.0)
+        budgets = RetryBudgets("e-1", 0.2, 10.0, 20.0)
         budgets.entries = 4
         for number in range(10):
             budgets.request_arrived("info", number * 0.1)
