Divide the retry slack by the most entries that were recorded within a window

A smaller number counts only after a window now; a larger one counts at once. It costs nothing while no record disappears.

--- a/briarspur/gateway/applier.py
+++ b/briarspur/gateway/applier.py
@@ -154,19 +154,19 @@
         self._steering.targets.evacuate(self._evacuated, self._clock())
 
     def _apply_entry(self, change: StoredChange) -> None:
+        now = self._clock()
         if change.value is None:
             self._fleet.removed(change.name)
-            self._steering.set_recorded_fleet_size(self._fleet.size)
+            self._steering.set_recorded_fleet_size(self._fleet.size, now)
             return
         result = self._codec.entry(change.name, change.value)
         if result.is_error():
             self._record_malformed(Kind.ENTRIES, change, result.error)
             return
-        now = self._clock()
         self._fleet.recorded(result.ok, now)
         if change.name == self._fleet.own_record.entry_id:
             self._steering.retry_budgets.record_found(now)
-        self._steering.set_recorded_fleet_size(self._fleet.size)
+        self._steering.set_recorded_fleet_size(self._fleet.size, now)
 
     def _apply_reservations(self, change: StoredChange) -> None:
         if change.name != RECORD_NAME or change.value is None:
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -64,7 +64,7 @@
         page.value("retries_unanswered", usage.unanswered, service=service)
         page.value("retries_allowed", usage.allowed, service=service)
     page.values("retry_refusals_total", "service", budgets.refusals_by_service)
-    page.value("retry_entries", budgets.entries)
+    page.value("retry_entries", budgets.entries.get(gateway.pool.seconds()))
 
 
 def _add_store(page: Exposition, gateway: "Gateway") -> None:
--- a/briarspur/gateway/retrybudgets.py
+++ b/briarspur/gateway/retrybudgets.py
@@ -7,6 +7,7 @@
 
 from briarspur import logs
 from briarspur.gateway.retrybudget import BudgetUsage, Retry, RetryBudget
+from briarspur.gateway.windowmaximum import WindowMaximum
 
 __all__ = ["RetryBudgets"]
 
@@ -32,7 +33,7 @@
 
     Attributes
     ----------
-    entries : int
+    entries : WindowMaximum
         Number of entries that share the slack.
     recorded_at : float
         When this entry's record was first known to be in the store; infinite before that, and minus
@@ -43,7 +44,9 @@
 
     # The slack is divided by the number of recorded entries, not of entries that appear live. An
     # entry that is shutting down, whose news is late or that is still unknown here sends retries
-    # too; with a smaller divisor the shares would add up to more than the limit.
+    # too; with a smaller divisor the shares would add up to more than the limit. For the same
+    # reason a smaller number counts only after a window: entries whose records are gone may have
+    # used their shares before, or the store may have lost the records of entries that run.
     #
     # An entry uses no slack until its record has been known for a window. Before that, its former
     # process may have used the same share, or the other entries that of a smaller divisor.
@@ -54,7 +57,7 @@
         self._window = window
         self._slack = slack
         self._by_service: dict[str, _ServiceBudget] = {}
-        self.entries = 1
+        self.entries = WindowMaximum(window, 1)
         self.recorded_at = -math.inf
         self.refusals_by_service: Counter[str] = Counter()
 
@@ -90,7 +93,9 @@
         return {service: self.usage(service, now) for service in sorted(self._by_service)}
 
     def _divisor(self, now: float) -> float:
-        return self.entries if now >= self.recorded_at + self._window else math.inf
+        if now < self.recorded_at + self._window:
+            return math.inf
+        return self.entries.get(now)
 
     def _budget(self, service: str) -> _ServiceBudget:
         found = self._by_service.get(service)
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -109,9 +109,9 @@
         for target in self.targets.by_number.values():
             target.cold_rate = None
 
-    def set_recorded_fleet_size(self, size: int) -> None:
+    def set_recorded_fleet_size(self, size: int, now: float) -> None:
         """Set the number of entries that are recorded in the store."""
-        self.retry_budgets.entries = size
+        self.retry_budgets.entries.set(size, now)
         self.quotas.recorded = size
         self.limits.recorded = size
 
--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -218,7 +218,7 @@
     def _begin(self, entry: _Entry) -> None:
         for other in self.entries_by_name.values():
             entry.fleet.recorded(other.record)
-        entry.steering.set_recorded_fleet_size(entry.fleet.size)
+        entry.steering.set_recorded_fleet_size(entry.fleet.size, self._now)
         served = replace(route(timeout=TIMEOUT_S), goal=1.0)
         entry.steering.apply_configuration(configuration(1, [served]))
         for number, server in enumerate(self.servers):
--- a/tests/gateway/retryfleet.py
+++ b/tests/gateway/retryfleet.py
@@ -190,7 +190,8 @@
     # Requests
 
     def _arrive(self, entry_id: str, now: float) -> None:
-        core = self._by_id[entry_id].core
+        entry = self._by_id[entry_id]
+        core = entry.core
         arrival = Arrival(f"r-{len(self.requests)}", "quay.example", "/times/x", None, TIMEOUT_S)
         work = core.begin(arrival, now)
         assert isinstance(work, Work)
@@ -198,10 +199,8 @@
         self.requests.append(request)
         first = core.next_attempt(work, now)
         if isinstance(first, Attempt):
-            self._send(self._by_id[entry_id], request, first, now)
-            self._schedule(
-                work.deadline, lambda at: self._time_out(self._by_id[entry_id], request, at)
-            )
+            self._send(entry, request, first, now)
+            self._schedule(work.deadline, lambda at: self._time_out(entry, request, at))
 
     def _send(self, entry: _Entry, request: _Request, attempt: Attempt, now: float) -> None:
         request.work.sent += 1
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -12,6 +12,7 @@
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.retrybudget import RetryBudget
 from briarspur.gateway.retrybudgets import RetryBudgets
+from briarspur.gateway.windowmaximum import WindowMaximum
 from tests.gateway.samples import begun, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None)
@@ -68,7 +69,7 @@
             allowed = 0
             for number in range(entries):
                 budgets = RetryBudgets(f"e-{number}", 0.2, 10.0, slack)
-                budgets.entries = entries
+                budgets.entries.set(entries, 0.0)
                 allowed += sum(budgets.take("info", 1.0) is not None for _ in range(5))
             with self.subTest(entries=entries):
                 self.assertLessEqual(abs(allowed - expected), 2.0 * math.sqrt(entries / 4.0))
@@ -76,7 +77,7 @@
 
     def test_an_entry_has_its_share_of_the_slack_a_window_after_its_record(self) -> None:
         budgets = RetryBudgets("e-1", 0.2, 10.0, 60.0)
-        budgets.entries = 10
+        budgets.entries.set(10, 0.0)
         budgets.recorded_at = math.inf
         self.assertIsNone(budgets.take("info", 100.0))
         budgets.record_found(100.0)
@@ -84,9 +85,16 @@
         self.assertIsNone(budgets.take("info", 109.9))
         self.assertIsNotNone(budgets.take("info", 110.0))
 
+    def test_a_smaller_number_of_entries_counts_after_a_window(self) -> None:
+        entries = WindowMaximum(10.0, 1)
+        for at, value in ((0.0, 8), (1.0, 3), (2.0, 5), (3.0, 2)):
+            entries.set(value, at)
+        found = [entries.get(at) for at in (3.0, 10.9, 11.1, 12.9, 13.1)]
+        self.assertEqual([8, 8, 5, 5, 2], found)
+
     def test_a_spent_budget_tells_its_state(self) -> None:
         budgets = RetryBudgets("e-1", 0.2, 10.0, 20.0)
-        budgets.entries = 4
+        budgets.entries.set(4, 0.0)
         for number in range(10):
             budgets.request_arrived("info", number * 0.1)
         retries = [budgets.take("info", 1.0) for _ in range(10)]
--- a/tests/gateway/test_retry_restarts.py
+++ b/tests/gateway/test_retry_restarts.py
@@ -1,4 +1,4 @@
-"""Tests of the retry budget of a fleet whose entries restart."""
+"""Tests of the retry budget of a fleet whose entries restart, or whose records are lost."""
 
 import unittest
 
@@ -25,6 +25,36 @@
         }
         self.assertLessEqual(max(worst.values()), 1.0, worst)
 
+    def test_lost_records_keep_the_budget(self) -> None:
+        """Guards against entries that divide the slack by fewer entries than sent retries."""
+        worst = {}
+        for kept, away, per_s in ((1, 3.0, 8.0), (1, 3.0, 25.0), (5, 5.0, 25.0), (5, 5.0, 60.0)):
+            for seed in SEEDS:
+                fleet = RetryFleet(10, seed)
+                fleet.rejected_share = 0.9
+                fleet.simulate(WARM_UP_S, per_s)
+                fleet.remove_records(fleet.entry_ids[kept:])
+                fleet.simulate(WARM_UP_S + away, per_s)
+                fleet.write_records()
+                fleet.simulate(30.0, per_s)
+                fleet.finish()
+                worst[kept, away, per_s, seed] = fleet.worst_window()
+        self.assertLessEqual(max(worst.values()), 1.0, worst)
+
+    def test_replaced_entries_keep_the_budget(self) -> None:
+        """Guards against new entries that use a share which the others have not given up yet."""
+        worst = {}
+        for per_s, replaced in ((8.0, 10), (25.0, 10), (25.0, 4)):
+            for seed in SEEDS:
+                fleet = RetryFleet(10, seed)
+                fleet.rejected_share = 0.9
+                fleet.simulate(WARM_UP_S, per_s)
+                fleet.replace(fleet.entry_ids[:replaced], WARM_UP_S)
+                fleet.simulate(30.0, per_s)
+                fleet.finish()
+                worst[per_s, replaced, seed] = fleet.worst_window()
+        self.assertLessEqual(max(worst.values()), 1.0, worst)
+
 
 def _worst_window(entries: int, per_s: float, restarts: int, gap: float, seed: int) -> float:
     """Return the worst window of a fleet whose entries all restart at the same time."""
