Count a retry until a window after its arrival, not after it was sent

A retry counts until a window after the last attempt of its request has ended; the second arrival of a request may be that of its first attempt. An attempt that was given up without an answer may still arrive for 4 s.

test_the_window_slides ends the retries that it took, since only an answered one leaves the window; its checks are the same.

--- a/briarspur/gateway/outcome.py
+++ b/briarspur/gateway/outcome.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-__all__ = ["NOT_RUN", "UNSENT", "Outcome"]
+__all__ = ["NOT_RUN", "UNCONFIRMED", "UNSENT", "Outcome"]
 
 
 class Outcome(Enum):
@@ -24,3 +24,5 @@
 """No byte of the request was sent: there was no connection, or the server accepted no new work."""
 NOT_RUN = UNSENT | {Outcome.REJECTED, Outcome.MISDIRECTED}
 """The request was not sent, or the server reported that it did not run it."""
+UNCONFIRMED = frozenset({Outcome.TIMED_OUT, Outcome.ABANDONED})
+"""The attempt was given up. A server may not have got the request yet, and may still get it."""
--- a/briarspur/gateway/retrybudget.py
+++ b/briarspur/gateway/retrybudget.py
@@ -1,5 +1,6 @@
 """One entry's share of the retries that all entries together may send to a service."""
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -11,16 +12,16 @@
 
 @dataclass(slots=True, eq=False)
 class Retry:
-    """A retry that a budget allowed; times in seconds on the caller's clock.
+    """A retry that a budget allowed.
 
     Attributes
     ----------
-    ended_at : float or None
-        When no attempt of its request was unanswered any more; None before that.
+    arrived_by : float
+        When every attempt of its request has reached a server, or never will, in seconds on the
+        clock of ``now``; infinite while one is unanswered.
     """
 
-    started_at: float
-    ended_at: float | None = None
+    arrived_by: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,9 @@
 class RetryBudget:
     """Counts requests and retries of one service in a sliding window.
 
+    A retry counts until a window after its arrival. If it counted from when it was sent, retries
+    that servers or links hold up for seconds would arrive together with those of the next window.
+
     All entries together may retry ``ratio`` of the requests plus ``slack``. The ratio applies to
     each entry's own requests and the slack is divided by the number of entries, so the shares add
     up to the limit without any messages.
@@ -71,7 +75,7 @@
         self._slack = slack
         self._rounding = rounding
         self._requests: deque[float] = deque()
-        self._retries: deque[Retry] = deque()
+        self._retries: list[Retry] = []
 
     def request_arrived(self, now: float) -> None:
         """Count a request that a caller sent."""
@@ -92,14 +96,14 @@
         self._drop_expired(now)
         if len(self._retries) + 1 > share * self._allowed(entries) + self._rounding:
             return None
-        retry = Retry(now)
+        retry = Retry()
         self._retries.append(retry)
         return retry
 
     def usage(self, now: float, entries: float) -> BudgetUsage:
         """Return the state of the budget."""
         self._drop_expired(now)
-        unanswered = sum(retry.ended_at is None for retry in self._retries)
+        unanswered = sum(retry.arrived_by > now for retry in self._retries)
         return BudgetUsage(
             len(self._requests), len(self._retries), unanswered, self._allowed(entries)
         )
@@ -111,5 +115,4 @@
         oldest = now - self._window
         while self._requests and self._requests[0] < oldest:
             self._requests.popleft()
-        while self._retries and self._retries[0].started_at < oldest:
-            self._retries.popleft()
+        self._retries = [retry for retry in self._retries if retry.arrived_by >= oldest]
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -14,7 +14,7 @@
 from briarspur.gateway.coldstart import cold_bucket
 from briarspur.gateway.configuration import Configuration, Route, WeightedRoundRobin
 from briarspur.gateway.loadview import LoadView
-from briarspur.gateway.outcome import NOT_RUN, UNSENT, Outcome
+from briarspur.gateway.outcome import NOT_RUN, UNCONFIRMED, UNSENT, Outcome
 from briarspur.gateway.quotas import Quotas
 from briarspur.gateway.retrybudgets import RetryBudgets
 from briarspur.gateway.serverlimits import ServerLimits
@@ -42,6 +42,9 @@
 HEDGE_SHARE = 0.5
 """Share of the retry budget that hedged requests may use; the rest is reserved for requests that
 failed."""
+MAX_HOLDUP_S = 4.0
+"""Time for which a server or a link that stands still may hold a request whose attempt was given
+up, before the server gets it."""
 MAX_CANDIDATE_CHECKS = 8
 """Servers whose advertised limit is checked for one request. If none of them has room, all servers
 that advertise a limit are excluded."""
@@ -235,7 +238,7 @@
         if attempt.ended:
             return
         attempt.ended = True
-        self._end_retries(attempt.work, now)
+        self._record_arrivals(attempt.work, outcome, now)
         target = attempt.target
         target.in_flight -= 1
         if outcome in UNSENT:
@@ -312,13 +315,14 @@
             work.retries.append(retry)
         return retry is not None
 
-    def _end_retries(self, work: Work, now: float) -> None:
-        """End the retries of a request with its last unanswered attempt."""
+    def _record_arrivals(self, work: Work, outcome: Outcome, now: float) -> None:
+        """Record by when the retries of a request have arrived, after its last attempt."""
         work.unanswered -= 1
+        if outcome in UNCONFIRMED:
+            work.arrived_by = now + MAX_HOLDUP_S
         if work.unanswered == 0:
             for retry in work.retries:
-                if retry.ended_at is None:
-                    retry.ended_at = now
+                retry.arrived_by = min(retry.arrived_by, max(now, work.arrived_by))
 
     def _record_usage_change(self, number: int, change: int) -> None:
         self.quotas.received(number, change)
--- a/briarspur/gateway/work.py
+++ b/briarspur/gateway/work.py
@@ -103,6 +103,8 @@
         they have no region in common.
     unanswered : int
         Attempts that have not ended.
+    arrived_by : float
+        When the attempts that were given up have reached a server, or never will.
     retries : list of Retry
         Retries that the budget of its service allowed.
     """
@@ -121,6 +123,7 @@
     sent: int = 0
     hedged: bool = False
     unanswered: int = 0
+    arrived_by: float = -math.inf
     retries: list[Retry] = field(default_factory=list)
 
 
--- a/tests/gateway/retryfleet.py
+++ b/tests/gateway/retryfleet.py
@@ -60,8 +60,9 @@
     ----------
     rejected_share : float
         Share of the arriving requests that the servers reject.
-    held_until : float
-        Requests sent before this time arrive at it, since the path to the servers stands still.
+    held_until, held_share : float
+        Share of the attempts made before a time that arrive at that time, since the path to the
+        servers or the servers themselves stand still.
     """
 
     def __init__(self, entries: int, seed: int = 1, slack: float = 60.0) -> None:
@@ -75,6 +76,7 @@
         self._now = 0.0
         self.rejected_share = 0.0
         self.held_until = 0.0
+        self.held_share = 1.0
         self.requests: list[_Request] = []
         self.entry_ids = [f"e-{number}" for number in range(entries)]
         self._by_id: dict[str, _Entry] = {}
@@ -205,7 +207,9 @@
     def _send(self, entry: _Entry, request: _Request, attempt: Attempt, now: float) -> None:
         request.work.sent += 1
         request.active.append(attempt)
-        arrives_at = max(now + TRANSIT_S, self.held_until)
+        arrives_at = now + TRANSIT_S
+        if arrives_at < self.held_until and self._rng.random() < self.held_share:
+            arrives_at = self.held_until
         self._arrivals.append((arrives_at, request.work.request_id))
         is_rejected = self._rng.random() < self.rejected_share
         outcome = Outcome.REJECTED if is_rejected else Outcome.ANSWERED
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -12,7 +12,9 @@
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.retrybudget import RetryBudget
 from briarspur.gateway.retrybudgets import RetryBudgets
+from briarspur.gateway.steering import MAX_HOLDUP_S
 from briarspur.gateway.windowmaximum import WindowMaximum
+from briarspur.gateway.work import Attempt
 from tests.gateway.samples import begun, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None)
@@ -59,7 +61,10 @@
 
     def test_the_window_slides(self) -> None:
         budget = RetryBudget(0.0, 10.0, 5.0)
-        self.assertEqual(4, sum(budget.take(0.0, 1) is not None for _ in range(10)))
+        retries = [retry for _ in range(10) if (retry := budget.take(0.0, 1)) is not None]
+        self.assertEqual(4, len(retries))
+        for retry in retries:
+            retry.arrived_by = 0.0
         self.assertFalse(budget.take(9.9, 1))
         self.assertTrue(budget.take(10.1, 1))
 
@@ -99,7 +104,7 @@
             budgets.request_arrived("info", number * 0.1)
         retries = [budgets.take("info", 1.0) for _ in range(10)]
         assert retries[0] is not None
-        retries[0].ended_at = 1.5
+        retries[0].arrived_by = 1.5
         self.assertEqual(5, budgets.refusals_by_service["info"])
         self.assertEqual(
             "5 of 5.6 retries used for 10 requests, 4 unanswered", str(budgets.usage("info", 2.0))
@@ -109,16 +114,30 @@
 class RetriesOfARequestTest(unittest.TestCase):
     """Which retries may still arrive at a server."""
 
-    def test_a_hedge_is_unanswered_until_both_attempts_have_ended(self) -> None:
+    def test_a_retry_counts_until_a_window_after_its_answer(self) -> None:
+        core = steering(3)
+        work = begun(core)
+        core.attempt_ended(sent(core, work), Outcome.REJECTED, 0.1)
+        again = core.retry(work, Outcome.REJECTED, 0.1)
+        assert isinstance(again, Attempt)
+        usage = core.retry_budgets.usage
+        self.assertEqual((1, 1), (usage("info", 1.9).retries, usage("info", 1.9).unanswered))
+        core.attempt_ended(again, Outcome.ANSWERED, 1.9)
+        self.assertEqual((1, 0), (usage("info", 11.8).retries, usage("info", 11.8).unanswered))
+        self.assertEqual(0, usage("info", 12.0).retries)
+
+    def test_a_hedge_may_arrive_after_the_first_attempt_was_given_up(self) -> None:
         core = steering(3)
         work = begun(core)
         first = sent(core, work)
         second = core.hedge(work, 1.0)
         assert second is not None
         core.attempt_ended(second, Outcome.ANSWERED, 1.2)
-        self.assertEqual(1, core.retry_budgets.usage("info", 1.2).unanswered)
         core.attempt_ended(first, Outcome.ABANDONED, 1.2)
-        self.assertEqual(0, core.retry_budgets.usage("info", 1.2).unanswered)
+        usage = core.retry_budgets.usage
+        self.assertEqual(1, usage("info", 1.3).unanswered)
+        self.assertEqual(1, usage("info", 1.1 + MAX_HOLDUP_S + 10.0).retries)
+        self.assertEqual(0, usage("info", 1.3 + MAX_HOLDUP_S + 10.0).retries)
 
 
 class BreakerTest(unittest.TestCase):
--- a/tests/gateway/test_retry_restarts.py
+++ b/tests/gateway/test_retry_restarts.py
@@ -55,6 +55,20 @@
                 worst[per_s, replaced, seed] = fleet.worst_window()
         self.assertLessEqual(max(worst.values()), 1.0, worst)
 
+    def test_requests_that_arrive_late_keep_the_budget(self) -> None:
+        """Guards against retries that leave the window before they reach a server."""
+        worst = {}
+        for per_s, start, length in ((8.0, 3.0, 4.0), (25.0, 3.0, 4.0), (25.0, 8.0, 9.0)):
+            for seed in SEEDS:
+                fleet = RetryFleet(10, seed)
+                fleet.rejected_share = 0.9
+                fleet.simulate(start, per_s)
+                fleet.held_share, fleet.held_until = 0.5, start + length
+                fleet.simulate(40.0, per_s)
+                fleet.finish()
+                worst[per_s, start, length, seed] = fleet.worst_window()
+        self.assertLessEqual(max(worst.values()), 1.0, worst)
+
 
 def _worst_window(entries: int, per_s: float, restarts: int, gap: float, seed: int) -> float:
     """Return the worst window of a fleet whose entries all restart at the same time."""
