Divide quotas and servers' limits by the most entries recorded within a window, too

An entry that hears no others keeps to one entry's part of a quota or of a server's limit. The recorded number is the same as for the retry slack now, and falls a window late.

--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -363,7 +363,7 @@
             if own_age < quotas.window:
                 quotas.knows_older_entry = self.fleet.has_older_entry(quotas.window, now)
             quotas.restarted = self.fleet.restarted_size(quotas.window, own_age, now)
-        self.steering.set_live_fleet_size(self.fleet.seen_size(now))
+        self.steering.set_live_fleet_size(self.fleet.seen_size(now), now)
         self.steering.limits.forget(now)
         entry_ids = self.fleet.entry_ids(now)
         if entry_ids != self.entry_ids:
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -115,13 +115,13 @@
     def set_recorded_fleet_size(self, size: int, now: float) -> None:
         """Set the number of entries that are recorded in the store."""
         self.retry_budgets.entries.set(size, now)
-        self.quotas.recorded = size
-        self.limits.recorded = size
+        self._share_limits(now)
 
-    def set_live_fleet_size(self, size: int) -> None:
+    def set_live_fleet_size(self, size: int, now: float) -> None:
         """Set the number of entries that news arrives from, including this one."""
         self.quotas.live = size
         self.limits.live = size
+        self._share_limits(now)
 
     def usage_counts(self, now: float) -> Counter[int]:
         """Return this entry's use of the shared quotas and limits by number, to be advertised."""
@@ -315,6 +315,12 @@
             work.retries.append(retry)
         return retry is not None
 
+    def _share_limits(self, now: float) -> None:
+        """Leave their parts to entries that run although the store may have lost their records."""
+        recorded = self.retry_budgets.entries.get(now)
+        self.quotas.recorded = recorded
+        self.limits.recorded = recorded
+
     def _record_arrivals(self, work: Work, outcome: Outcome, now: float) -> None:
         """Record by when the retries of a request have arrived, after its last attempt."""
         work.unanswered -= 1
--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -299,7 +299,7 @@
         entry.gossip.members_changed(now)
         entry.steering.loads.expire(now)
         entry.steering.set_live_entries(entry.fleet.entry_ids(now))
-        entry.steering.set_live_fleet_size(entry.fleet.seen_size(now))
+        entry.steering.set_live_fleet_size(entry.fleet.seen_size(now), now)
         entry.steering.limits.forget(now)
         self._at(now + TICK_S, lambda at: self._tick(entry, at))
 
--- a/tests/gateway/test_server_limits.py
+++ b/tests/gateway/test_server_limits.py
@@ -8,7 +8,7 @@
 from briarspur.codes import Code
 from briarspur.gateway.servernotice import NO_LIMIT, ReportedLimit
 from briarspur.gateway.work import Refused
-from tests.gateway.noticefleet import NoticeFleet
+from tests.gateway.noticefleet import FACTOR, SLACK, WINDOW, NoticeFleet
 from tests.gateway.samples import begun, registration, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None, max_examples=12)
@@ -48,6 +48,24 @@
         fleet.simulate(12.0, 24.0, 70.0)
         self.check(fleet)
 
+    def test_an_entry_alone_keeps_to_its_part_when_the_store_loses_all_records(self) -> None:
+        """Guards against an entry without news that uses the whole limit of a server."""
+        core = steering(1)
+        core.set_recorded_fleet_size(10, 0.0)
+        core.set_live_fleet_size(1, 0.0)
+        target = core.targets.by_service["info"][0]
+        core.limits.answered(target, 10.0, 0.0)
+        core.set_recorded_fleet_size(1, 1.0)
+        used = 0
+        for step in range(1, 33):
+            now = 1.0 + step * 0.125
+            core.set_live_fleet_size(1, now)
+            for number in range(10):
+                if core.limits.has_room(target, f"r-{step}-{number}", now):
+                    core.limits.sent(target, now)
+                    used += 1
+        self.assertLessEqual(used, 0.1 * (FACTOR * WINDOW * 10.0 + SLACK))
+
     def test_a_limit_is_kept_while_entries_restart(self) -> None:
         """Guards against restarted entries that each use a full limit."""
         for entries, zones in ((10, 6), (27, 3)):
