Keep what is left of a cold server's rate when the live entries change

Each change of the live entries gave each sender to a cold server a new bucket with a whole request in it. Entries notice changes four times a second, so a fleet whose entries come and go let a cold server get 15 requests in a second where 9.5 are allowed (10 entries, 3 requests/s, in the test; the cause by reading, no run showed it). A sender keeps at most what it had left, and one that becomes a sender begins with an empty bucket.

--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -110,7 +110,7 @@
         """Set the ids of the live entries, including this one."""
         self.entries = entries
         for target in self.targets.by_number.values():
-            target.cold_rate = None
+            target.cold_senders_changed = True
 
     def set_recorded_fleet_size(self, size: int, now: float) -> None:
         """Set the number of entries that are recorded in the store."""
@@ -397,7 +397,8 @@
         if service is None or service.cold_per_s <= 0.0:
             return
         for target in targets:
-            if target.cold_until > now and target.cold_rate is None:
+            is_assigned = target.cold_rate is not None and not target.cold_senders_changed
+            if target.cold_until > now and not is_assigned:
                 bucket = cold_bucket(
                     self.entry_id,
                     self.entries,
@@ -405,7 +406,11 @@
                     service.cold_per_s,
                     now,
                 )
+                if bucket is not None and target.cold_rate is not None:
+                    # A full bucket at each change would let frequent changes exceed the rate.
+                    bucket.cap(target.cold_rate.available(now), now)
                 target.cold_rate = NO_COLD_REQUESTS if bucket is None else bucket
+                target.cold_senders_changed = False
 
     def _retry_after(self, work: Work, now: float) -> float:
         """Return the seconds until a slot may be free: the service's mean working time.
--- a/briarspur/gateway/target.py
+++ b/briarspur/gateway/target.py
@@ -44,6 +44,10 @@
         When this entry last sent it a request only to warm up an object there.
     cold_until : float
         When it stops being cold, on this entry's clock.
+    cold_rate : TokenBucket or None
+        This entry's share of its rate while it is cold; None if it was not determined yet.
+    cold_senders_changed : bool
+        Whether the live entries have changed since then.
     gone : bool
         Whether another server answered at its address.
     leaving : bool
@@ -58,6 +62,7 @@
         "backoff_until",
         "breaker",
         "cold_rate",
+        "cold_senders_changed",
         "cold_until",
         "elsewhere",
         "error_rate",
@@ -88,6 +93,7 @@
         self.warm_up_sent_at = float("-inf")
         self.cold_until = now + registration.cold_s
         self.cold_rate: TokenBucket | None = None
+        self.cold_senders_changed = False
         self._slowdown_at = now
         self._error_rate_at = now
 
--- a/briarspur/gateway/tokens.py
+++ b/briarspur/gateway/tokens.py
@@ -34,3 +34,7 @@
             return False
         self._tokens -= 1.0
         return True
+
+    def cap(self, tokens: float, now: float) -> None:
+        """Leave at most this number of tokens in the bucket."""
+        self._tokens = min(self.available(now), tokens)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -3,19 +3,21 @@
 import math
 import unittest
 from collections import defaultdict
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from briarspur.gateway.breaker import MIN_PAUSE_S, Breaker
 from briarspur.gateway.coldstart import cold_bucket
+from briarspur.gateway.configuration import Service
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.retrybudget import RetryBudget
 from briarspur.gateway.retrybudgets import RetryBudgets
 from briarspur.gateway.steering import MAX_HOLDUP_S
 from briarspur.gateway.windowmaximum import WindowMaximum
 from briarspur.gateway.work import Attempt
-from tests.gateway.samples import begun, sent, steering
+from tests.gateway.samples import begun, configuration, registration, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None)
 
@@ -46,6 +48,30 @@
         busiest = max(sum(t <= u < t + 1.0 for u in times) for t in times)
         self.assertLessEqual(busiest, 1.5 * rate + 5.0)
 
+    def test_frequent_changes_of_the_fleet_keep_the_rate(self) -> None:
+        """Guards against a cold server that gets a burst at each change of the live entries."""
+        per_s, names = 3.0, [f"e-{number}" for number in range(10)]
+        cores = [steering(0, entry_id=name) for name in names]
+        for core in cores:
+            changed = configuration(2)
+            services = {"info": Service("info", 100, 3.0, per_s)}
+            core.apply_configuration(replace(changed, services_by_name=services))
+            core.targets.registered(registration("t-1", cold_s=60.0, slots=100), 0.0)
+            core.set_live_entries(names)
+        times: list[float] = []
+        for step in range(300):
+            now = step * 0.02
+            for core in cores:
+                if step % 12 == 0:
+                    core.set_live_entries(names[: 10 - step // 12 % 2])
+                attempt = core.next_attempt(begun(core, now, key=None), now)
+                if isinstance(attempt, Attempt):
+                    times.append(now)
+                    core.attempt_ended(attempt, Outcome.ANSWERED, now + 0.01)
+        busiest = max(sum(t <= u < t + 1.0 for u in times) for t in times)
+        self.assertLessEqual(busiest, 1.5 * per_s + 5.0)
+        self.assertGreater(len(times), 5)
+
 
 class RetryBudgetTest(unittest.TestCase):
     """The retries of all entries together stay within one limit."""
