Return retries that are not sent to the budget, and count those of a second attempt for free anew

Since retries count until their arrival, one that was allowed but found no server, or no time left, was never answered and would have counted for good: the budget of a service would have been used up in time, with retries refused to all callers. And a retry whose connection failed counted from then on, though its next attempt, which is free, was still to arrive. Both found by reading the change; both tests failed before (two retries counted instead of none; none unanswered instead of one).

--- a/briarspur/gateway/retrybudget.py
+++ b/briarspur/gateway/retrybudget.py
@@ -18,7 +18,7 @@
     ----------
     arrived_by : float
         When every attempt of its request has reached a server, or never will, in seconds on the
-        clock of ``now``; infinite while one is unanswered.
+        clock of ``now``; infinite while one is unanswered, minus infinity if none was sent.
     """
 
     arrived_by: float = math.inf
@@ -88,8 +88,8 @@
 
         Parameters
         ----------
-        divisor : float
-            By what the slack is divided; infinite if this entry has no share of it.
+        entries : float
+            Number of entries that share the slack; infinite if this entry has no share.
         share : float
             Share of the allowance that this retry may use.
         """
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -4,6 +4,7 @@
 events and return decisions. Times are seconds on the caller's monotonic clock.
 """
 
+import math
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import replace
@@ -115,13 +116,13 @@
     def set_recorded_fleet_size(self, size: int, now: float) -> None:
         """Set the number of entries that are recorded in the store."""
         self.retry_budgets.entries.set(size, now)
-        self._share_limits(now)
+        self._update_recorded(now)
 
     def set_live_fleet_size(self, size: int, now: float) -> None:
         """Set the number of entries that news arrives from, including this one."""
         self.quotas.live = size
         self.limits.live = size
-        self._share_limits(now)
+        self._update_recorded(now)
 
     def usage_counts(self, now: float) -> Counter[int]:
         """Return this entry's use of the shared quotas and limits by number, to be advertised."""
@@ -196,7 +197,10 @@
         if not self._take_retry(work, now, HEDGE_SHARE):
             return None
         attempt = self.next_attempt(work, now)
-        return attempt if isinstance(attempt, Attempt) else None
+        if isinstance(attempt, Attempt):
+            return attempt
+        self._return_retry(work)
+        return None
 
     def record_notice(self, target: Target, notice: ServerNotice, now: float) -> None:
         """Record the limit, departure or backoff that a server advertised in its response."""
@@ -276,9 +280,11 @@
             if refused is not None:
                 return refused if proven else None
         attempt = self.next_attempt(work, now)
-        if isinstance(attempt, Refused) and not proven:
-            return None
-        return attempt
+        if isinstance(attempt, Attempt):
+            return attempt
+        if outcome not in UNSENT:
+            self._return_retry(work)
+        return attempt if proven else None
 
     # Internals
 
@@ -315,7 +321,11 @@
             work.retries.append(retry)
         return retry is not None
 
-    def _share_limits(self, now: float) -> None:
+    def _return_retry(self, work: Work) -> None:
+        """Return a retry that was not sent to the budget."""
+        work.retries.pop().arrived_by = -math.inf
+
+    def _update_recorded(self, now: float) -> None:
         """Leave their parts to entries that run although the store may have lost their records."""
         recorded = self.retry_budgets.entries.get(now)
         self.quotas.recorded = recorded
@@ -350,6 +360,8 @@
             self.loads.record_own_warmed(target.number, work.key)
         work.tried.append(target)
         work.unanswered += 1
+        if work.retries:
+            work.retries[-1].arrived_by = math.inf
         return Attempt(
             work=work,
             target=target,
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -16,7 +16,7 @@
 from briarspur.gateway.retrybudgets import RetryBudgets
 from briarspur.gateway.steering import MAX_HOLDUP_S
 from briarspur.gateway.windowmaximum import WindowMaximum
-from briarspur.gateway.work import Attempt
+from briarspur.gateway.work import Attempt, Refused
 from tests.gateway.samples import begun, configuration, registration, sent, steering
 
 FIXED = settings(derandomize=True, deadline=None, database=None)
@@ -152,6 +152,32 @@
         self.assertEqual((1, 0), (usage("info", 11.8).retries, usage("info", 11.8).unanswered))
         self.assertEqual(0, usage("info", 12.0).retries)
 
+    def test_a_retry_that_is_not_sent_is_returned_to_the_budget(self) -> None:
+        """Guards against a budget that is used up for good by retries without time left."""
+        core = steering(3)
+        work = begun(core)
+        first = sent(core, work)
+        late = work.deadline - 0.001
+        self.assertIsNone(core.hedge(work, late))
+        core.attempt_ended(first, Outcome.REJECTED, late)
+        self.assertIsInstance(core.retry(work, Outcome.REJECTED, late), Refused)
+        self.assertEqual(0, core.retry_budgets.usage("info", late).retries)
+
+    def test_a_retry_counts_from_the_attempt_that_was_sent(self) -> None:
+        core = steering(3)
+        work = begun(core)
+        core.attempt_ended(sent(core, work), Outcome.REJECTED, 0.1)
+        unsent = core.retry(work, Outcome.REJECTED, 0.1)
+        assert isinstance(unsent, Attempt)
+        core.attempt_ended(unsent, Outcome.NOT_SENT, 0.2)
+        again = core.retry(work, Outcome.NOT_SENT, 0.2)
+        assert isinstance(again, Attempt)
+        usage = core.retry_budgets.usage
+        self.assertEqual((1, 1), (usage("info", 1.5).retries, usage("info", 1.5).unanswered))
+        core.attempt_ended(again, Outcome.ANSWERED, 1.5)
+        self.assertEqual(1, usage("info", 11.4).retries)
+        self.assertEqual(0, usage("info", 11.6).retries)
+
     def test_a_hedge_may_arrive_after_the_first_attempt_was_given_up(self) -> None:
         core = steering(3)
         work = begun(core)
