--- a/tests/gateway/retryfleet.py
+++ b/tests/gateway/retryfleet.py
@@ -25,6 +25,7 @@
 
 __all__ = ["RetryFleet"]
 
+SERVICE = "info"
 SERVERS = 12
 SLOTS = 10_000
 """So many that no server is ever full and only the injected failures cause retries."""
@@ -152,6 +153,11 @@
             default=0.0,
         )
 
+    def counted_retries(self, now: float) -> int:
+        """Return how many retries count in the budgets of all entries."""
+        cores = (entry.core for entry in self._by_id.values())
+        return sum(core.retry_budgets.usage(SERVICE, now).retries for core in cores)
+
     def served_share(self, start: float, end: float) -> float:
         """Return the share of the requests of a time span that were answered."""
         asked = [request for request in self.requests if start <= request.at < end]
--- a/tests/gateway/test_retry_restarts.py
+++ b/tests/gateway/test_retry_restarts.py
@@ -2,10 +2,14 @@
 
 import unittest
 
-from tests.gateway.retryfleet import RetryFleet
+from briarspur.gateway.steering import MAX_HOLDUP_S
+from briarspur.gateway.work import Bounds
+from tests.gateway.retryfleet import TIMEOUT_S, RetryFleet
 
 SEEDS = (1, 2, 3)
 WARM_UP_S = 3.0
+ALL_ENDED_S = TIMEOUT_S + MAX_HOLDUP_S + Bounds().retry_window
+"""Time after the last request by which all its attempts have reached a server a window ago."""
 
 
 class RetryRestartTest(unittest.TestCase):
@@ -69,6 +73,17 @@
                 worst[per_s, start, length, seed] = fleet.worst_window()
         self.assertLessEqual(max(worst.values()), 1.0, worst)
 
+    def test_all_retries_leave_the_budget(self) -> None:
+        """Guards against a budget that fills up for good with retries whose end is not noticed."""
+        fleet = RetryFleet(10)
+        fleet.rejected_share = 0.5
+        fleet.simulate(10.0, 25.0)
+        fleet.held_share, fleet.held_until = 0.3, 14.0
+        fleet.simulate(20.0, 25.0)
+        fleet.finish()
+        self.assertGreater(fleet.counted_retries(20.0), 0)
+        self.assertEqual(0, fleet.counted_retries(20.0 + ALL_ENDED_S))
+
 
 def _worst_window(entries: int, per_s: float, restarts: int, gap: float, seed: int) -> float:
     """Return the worst window of a fleet whose entries all restart at the same time."""
