--- a/tests/gateway/retryfleet.py
+++ b/tests/gateway/retryfleet.py
@@ -83,8 +83,12 @@
         self._by_id: dict[str, _Entry] = {}
         for entry_id in self.entry_ids:
             self._by_id[entry_id] = self._start(entry_id, -math.inf)
-        for entry_id in self.entry_ids:
-            self._read_records(entry_id, 0.0)
+        self._read_all_records(0.0)
+
+    @property
+    def live_ids(self) -> list[str]:
+        """Ids of the entries that run."""
+        return list(self._by_id)
 
     # Faults
 
@@ -107,16 +111,12 @@
                 now + RECORDS_READ_S, lambda at, name=new_id: self._record_everywhere(name, at)
             )
 
-    def remove_records(self, entry_ids: Iterable[str]) -> None:
-        """Let the store lose records, and all entries read that."""
+    def remove_records(self, entry_ids: Iterable[str], away: float) -> None:
+        """Let the store lose records, and all entries read that, for some seconds."""
         changes = [StoredChange(entry_id, 2, None) for entry_id in entry_ids]
         for entry in self._by_id.values():
             entry.applier.apply(Kind.ENTRIES, changes, ChangeSource.WATCH)
-
-    def write_records(self) -> None:
-        """Let all entries write their records again, and read those of the others."""
-        for entry_id in self._by_id:
-            self._read_records(entry_id, self._now)
+        self._schedule(self._now + away, self._read_all_records)
 
     # Load
 
@@ -189,6 +189,10 @@
             changes = [_stored_record(other) for other in self.entry_ids]
             entry.applier.apply(Kind.ENTRIES, changes, ChangeSource.WATCH)
 
+    def _read_all_records(self, now: float) -> None:
+        for entry_id in self._by_id:
+            self._read_records(entry_id, now)
+
     def _record_everywhere(self, entry_id: str, now: float) -> None:
         self._read_records(entry_id, now)
         for entry in self._by_id.values():
--- a/tests/gateway/test_retry_restarts.py
+++ b/tests/gateway/test_retry_restarts.py
@@ -1,5 +1,6 @@
 """Tests of the retry budget of a fleet whose entries restart, or whose records are lost."""
 
+import random
 import unittest
 
 from briarspur.gateway.steering import MAX_HOLDUP_S
@@ -8,6 +9,10 @@
 
 SEEDS = (1, 2, 3)
 WARM_UP_S = 3.0
+SERIES_SEEDS = range(1, 9)
+SERIES_END_S = 30.0
+RECORDS_LOST_S = 3.0
+"""Time until entries have written records again that the store has lost."""
 ALL_ENDED_S = TIMEOUT_S + MAX_HOLDUP_S + Bounds().retry_window
 """Time after the last request by which all its attempts have reached a server a window ago."""
 
@@ -37,9 +42,7 @@
                 fleet = RetryFleet(10, seed)
                 fleet.rejected_share = 0.9
                 fleet.simulate(WARM_UP_S, per_s)
-                fleet.remove_records(fleet.entry_ids[kept:])
-                fleet.simulate(WARM_UP_S + away, per_s)
-                fleet.write_records()
+                fleet.remove_records(fleet.entry_ids[kept:], away)
                 fleet.simulate(30.0, per_s)
                 fleet.finish()
                 worst[kept, away, per_s, seed] = fleet.worst_window()
@@ -73,6 +76,11 @@
                 worst[per_s, start, length, seed] = fleet.worst_window()
         self.assertLessEqual(max(worst.values()), 1.0, worst)
 
+    def test_series_of_disruptions_keep_the_budget(self) -> None:
+        """Guards against disruptions of several kinds that together exceed the budget."""
+        worst = {seed: _worst_window_of_series(seed) for seed in SERIES_SEEDS}
+        self.assertLessEqual(max(worst.values()), 1.0, worst)
+
     def test_all_retries_leave_the_budget(self) -> None:
         """Guards against a budget that fills up for good with retries whose end is not noticed."""
         fleet = RetryFleet(10)
@@ -96,3 +104,34 @@
     fleet.simulate(30.0, per_s)
     fleet.finish()
     return fleet.worst_window()
+
+
+def _worst_window_of_series(seed: int) -> float:
+    """Return the worst window of a fleet under a random series of disruptions."""
+    rng = random.Random(seed)
+    fleet = RetryFleet(rng.choice((3, 10, 30)), seed)
+    fleet.rejected_share = rng.choice((0.5, 0.9))
+    per_s = rng.choice((8.0, 25.0))
+    now = WARM_UP_S
+    fleet.simulate(now, per_s)
+    while now < SERIES_END_S:
+        ids = fleet.live_ids
+        load = per_s
+        match rng.choice(("restart", "restart some", "replace", "lose records", "hold", "burst")):
+            case "restart":
+                fleet.restart(ids, now)
+            case "restart some":
+                fleet.restart(rng.sample(ids, len(ids) // 3), now)
+            case "replace":
+                fleet.replace(rng.sample(ids, len(ids) // 3), now)
+            case "lose records":
+                fleet.remove_records(rng.sample(fleet.entry_ids, len(ids) - 1), RECORDS_LOST_S)
+            case "hold":
+                fleet.held_share, fleet.held_until = 0.5, now + rng.uniform(0.5, 8.0)
+            case "burst":
+                load = 5.0 * per_s
+        now += rng.uniform(0.5, 3.0)
+        fleet.simulate(now, load)
+    fleet.simulate(now + 12.0, per_s)
+    fleet.finish()
+    return fleet.worst_window()
