--- a/briarspur/gateway/retrybudget.py
+++ b/briarspur/gateway/retrybudget.py
@@ -7,7 +7,8 @@
 __all__ = ["BudgetUsage", "Retry", "RetryBudget"]
 
 USED_SHARE = 0.8
-"""Share of the allowance that is used; the remainder covers entries that are not known yet."""
+"""Share of the allowance that is used; the remainder covers entries that are not known yet, and the
+rounding of the entries' shares."""
 
 
 @dataclass(slots=True, eq=False)
