List a fault of cold servers' rates when all entries start together, with its test

Thirty entries that start at the same time each send a cold server one request before they hear of one another, 30 where 9.5 a second are allowed.

--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -11,6 +11,8 @@
 from briarspur.gateway.breaker import MIN_PAUSE_S, Breaker
 from briarspur.gateway.coldstart import cold_bucket
 from briarspur.gateway.configuration import Service
+from briarspur.gateway.entryrecord import EntryRecord
+from briarspur.gateway.fleet import Fleet
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.retrybudget import RetryBudget
 from briarspur.gateway.retrybudgets import RetryBudgets
@@ -22,6 +24,10 @@
 FIXED = settings(derandomize=True, deadline=None, database=None)
 
 
+def entry_record(entry_id: str) -> EntryRecord:
+    return EntryRecord(entry_id, 1, "127.0.0.1", "a-1", "a", 80, 81, 82)
+
+
 class ColdRateTest(unittest.TestCase):
     """A cold server gets no more requests than it can handle, from all entries together."""
 
@@ -72,6 +78,22 @@
         self.assertLessEqual(busiest, 1.5 * per_s + 5.0)
         self.assertGreater(len(times), 5)
 
+    def test_entries_that_start_together_keep_the_rate(self) -> None:
+        """Guards against entries that each send to a cold server before they hear of the others."""
+        per_s, records = 3.0, [entry_record(f"e-{number}") for number in range(30)]
+        attempts = 0
+        for record in records:
+            fleet = Fleet(record)
+            for other in records:
+                fleet.recorded(other)
+            core = steering(0, entry_id=record.entry_id)
+            services = {"info": Service("info", 100, 3.0, per_s)}
+            core.apply_configuration(replace(configuration(2), services_by_name=services))
+            core.targets.registered(registration("t-1", cold_s=60.0, slots=100), 0.0)
+            core.set_live_entries(fleet.entry_ids(0.0))
+            attempts += isinstance(core.next_attempt(begun(core, key=None), 0.0), Attempt)
+        self.assertLessEqual(attempts, 1.5 * per_s + 5.0)
+
 
 class RetryBudgetTest(unittest.TestCase):
     """The retries of all entries together stay within one limit."""
