Withhold new claims of callers' keys until the store has the lost ones again

Callers saw: a booking with a key of the caller's own, answered at one entry, ran once more at each entry that got it after the store had returned from an older copy.

Cause: the only proof that a key wasn't run was that the store had no claim of it. A store that returned from a copy lacks its latest claims, and a create succeeds there as for a new key. Entries compared the era of revisions, but no one asked it of a claim.

Evidence: listed claims of the stand-in's store around the return, with the listed test's order of events: claim of entry-1 at revision 2 of era 0; no claim at revision 1 of era 1; claim of entry-2 at revision 2 of era 1, acquired by one create without a conflict; entry-3 is told that entry-2 holds it. So neither a race nor a stale read, which were the other hypotheses: a wait of 8 s changes nothing.

Fix: an entry accepts a claim only in an era in which claims are given out. When the era has risen, new claims are withheld (3004, with Retry-After, at once), and each holder writes its lost claims again with their first token and time, over a claim that an entry which did not know of the return has created. Entries ask each other through which era their claims are in the store; once all that were members within the age of the copy have confirmed, the hold's record in the store is ended. If one is gone, it ends when callers no longer repeat keys from before the return. A claim begun in an earlier era, or before the hold ended, is confirmed by a conditional write.

Why it holds: a claim is dispatched only if its write was answered from the era that is open, and an era opens only when no earlier claim can be missing: its holder wrote it, or its key has expired. Entries that started later read the record; one of an earlier era begins a hold. Claims that the copy has are found from the newest back, so only lost ones are written.

Found on the way by real processes: claims without an entry yet were replaced by a second, empty list (len() of 0 is false), so nothing was written again. By random series: the order of versions was that of one object in MemoryStore, of the whole store on the platform; the contract says the latter now and has a test.

New: claims, held claims, fleets in virtual time, returns in the model of keys, two scenarios with real processes.

--- a/briarspur/coord/claims.py
+++ b/briarspur/coord/claims.py
@@ -4,31 +4,45 @@
 them create the claim; only that entry may dispatch the key, and it records the key in its own
 memory. Claims are not deleted here but by :mod:`briarspur.coord.sweep`, long after the last
 repeat: a key whose claim is deleted could run again.
+
+A store that returned from an older copy lacks the latest claims. Until their holders have written
+them again, :class:`~briarspur.coord.claimhold.ClaimHold` withholds new ones.
 """
 
 import asyncio
-import json
 import time
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from briarspur.coord.claimhold import ClaimHold
+from briarspur.coord.claimrecord import ClaimRecord, claim_name
+from briarspur.coord.era import era_of
 from briarspur.coord.errors import (
     StoreConflictError,
     StoreError,
     StoreUnavailableError,
     StoreUnclearError,
 )
+from briarspur.coord.heldclaims import HeldClaims
 from briarspur.coord.keys import Key
 from briarspur.coord.store import ABSENT, ObjectStore
 
-__all__ = ["ClaimOutcome", "ClaimAcquired", "ClaimTaken", "ClaimUnsettled", "Claims", "claim_name"]
+__all__ = [
+    "ClaimAcquired",
+    "ClaimOutcome",
+    "ClaimTaken",
+    "ClaimUnsettled",
+    "ClaimWithheld",
+    "Claims",
+    "claim_name",
+]
 
 DEFAULT_MAX_CONCURRENT = 16
 DEFAULT_MAX_QUEUED = 200
 DEFAULT_MAX_ATTEMPTS = 3
 DEFAULT_RETRY_DELAY_S = 0.05
-MAX_UNSETTLED_TOKENS = 10_000
+MAX_OPEN_CLAIMS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,35 +65,28 @@
     reason: str
 
 
-ClaimOutcome = ClaimAcquired | ClaimTaken | ClaimUnsettled
+@dataclass(frozen=True, slots=True)
+class ClaimWithheld:
+    """The store may lack the key's claim, so an earlier copy of the request may have run.
 
+    Attributes
+    ----------
+    retry_after : float
+        Seconds after which the key may be claimed.
+    """
+
+    retry_after: float
 
-@dataclass(frozen=True, slots=True)
-class _Claim:
-    token: str
-    incarnation: str
-    body_digest: bytes
-    created_at: float
 
-    def encode(self) -> bytes:
-        fields = {
-            "token": self.token,
-            "incarnation": self.incarnation,
-            "digest": self.body_digest.hex(),
-            "at": self.created_at,
-        }
-        return json.dumps(fields, separators=(",", ":")).encode()
+ClaimOutcome = ClaimAcquired | ClaimTaken | ClaimUnsettled | ClaimWithheld
 
-    @classmethod
-    def decode(cls, value: bytes) -> "_Claim":
-        fields = json.loads(value)
-        digest = bytes.fromhex(fields["digest"])
-        return cls(fields["token"], fields["incarnation"], digest, float(fields.get("at", 0.0)))
 
+@dataclass(frozen=True, slots=True)
+class _OpenClaim:
+    """A claim of this entry that may take effect, and the era that was open when it was begun."""
 
-def claim_name(key: Key) -> str:
-    """Return the name of the object that holds the claim of ``key``."""
-    return f"claims/{key.digest}"
+    token: str
+    era: int
 
 
 class Claims:
@@ -104,6 +111,11 @@
     wall : callable
         Returns unix time in seconds, stored in each claim as its creation time for the sweeper
         that deletes old claims.
+    hold : ClaimHold or None
+        Decides whether new claims are given out. By default they are in the store's era 0, or once
+        the record of the hold says so.
+    held : HeldClaims or None
+        Remembers the claims that this entry acquires.
     """
 
     def __init__(
@@ -116,7 +128,11 @@
         max_attempts: int = DEFAULT_MAX_ATTEMPTS,
         retry_delay: float = DEFAULT_RETRY_DELAY_S,
         wall: Callable[[], float] = time.time,
+        hold: ClaimHold | None = None,
+        held: HeldClaims | None = None,
     ) -> None:
+        self._hold = ClaimHold(store, open_era=0, wall=wall) if hold is None else hold
+        self._held = HeldClaims(store, wall=wall) if held is None else held
         self._wall = wall
         self._store = store
         self._incarnation = incarnation
@@ -126,7 +142,7 @@
         self._pending = 0
         self._max_attempts = max_attempts
         self._retry_delay = retry_delay
-        self._unsettled_tokens_by_name: OrderedDict[str, str] = OrderedDict()
+        self._open_by_name: OrderedDict[str, _OpenClaim] = OrderedDict()
 
     async def claim(self, key: Key, body_digest: bytes) -> ClaimOutcome:
         """Claim a foreign key. There must be only one call at a time for each key."""
@@ -140,29 +156,36 @@
             self._pending -= 1
 
     async def _claim(self, name: str, body_digest: bytes) -> ClaimOutcome:
+        is_open = await self._hold.is_open()
         # An earlier claim of this entry whose answer was lost may still take effect. With a new
         # token it would look like the claim of another entry, and the key could never be run.
-        token = self._unsettled_tokens_by_name.pop(name, None) or self._new_token()
-        claim = _Claim(token, self._incarnation, body_digest, self._wall())
-        outcome = await self._create(name, claim)
-        if isinstance(outcome, ClaimUnsettled):
-            self._keep_token(name, token)
+        begun = self._open_by_name.pop(name, None)
+        if begun is None and not is_open:
+            return await self._look_up(name, token=None)
+        begun = begun or _OpenClaim(self._new_token(), self._hold.era)
+        claim = ClaimRecord(begun.token, self._incarnation, body_digest, self._wall())
+        if is_open:
+            outcome = await self._create(name, claim, begun.era)
+        else:
+            outcome = await self._look_up(name, begun.token)
+        if isinstance(outcome, ClaimUnsettled | ClaimWithheld):
+            self._keep_open(name, begun)
         return outcome
 
-    async def _create(self, name: str, claim: _Claim) -> ClaimOutcome:
+    async def _create(self, name: str, claim: ClaimRecord, era: int) -> ClaimOutcome:
         for _ in range(self._max_attempts):
             try:
-                await self._store.put(name, claim.encode(), ABSENT)
-                return ClaimAcquired()
+                version = await self._store.put(name, claim.encode(), ABSENT)
+                return await self._accept(name, claim, version, era)
             except StoreConflictError:
-                return await self._read_back(name, claim)
+                return await self._read_back(name, claim, era)
             except StoreUnavailableError as error:
                 return ClaimUnsettled(str(error))
             except StoreUnclearError:
                 await asyncio.sleep(self._retry_delay)
         return ClaimUnsettled("no answer from the store was received")
 
-    async def _read_back(self, name: str, claim: _Claim) -> ClaimOutcome:
+    async def _read_back(self, name: str, claim: ClaimRecord, era: int) -> ClaimOutcome:
         for _ in range(self._max_attempts):
             try:
                 found = await self._store.get(name)
@@ -170,17 +193,63 @@
                 return ClaimUnsettled(str(error))
             # The claim exists; a read that does not find it is stale.
             if found is not None:
-                stored_claim = _Claim.decode(found.value)
-                is_ours = stored_claim.token == claim.token
-                return (
-                    ClaimAcquired()
-                    if is_ours
-                    else ClaimTaken(stored_claim.incarnation, stored_claim.body_digest)
-                )
+                stored_claim = ClaimRecord.decode(found.value)
+                if stored_claim.token == claim.token:
+                    return await self._accept(name, claim, found.version, era)
+                return ClaimTaken(stored_claim.incarnation, stored_claim.body_digest)
             await asyncio.sleep(self._retry_delay)
         return ClaimUnsettled("reads from the store did not return the claim")
 
-    def _keep_token(self, name: str, token: str) -> None:
-        self._unsettled_tokens_by_name[name] = token
-        while len(self._unsettled_tokens_by_name) > MAX_UNSETTLED_TOKENS:
-            self._unsettled_tokens_by_name.popitem(last=False)
+    async def _look_up(self, name: str, token: str | None) -> ClaimOutcome:
+        """Return the holder of a key while new claims are withheld.
+
+        ``token`` is that of an earlier claim of this entry, which may have taken effect.
+        """
+        try:
+            found = await self._store.get(name)
+        except StoreError as error:
+            return ClaimUnsettled(str(error))
+        if found is not None:
+            stored_claim = ClaimRecord.decode(found.value)
+            if stored_claim.token != token:
+                return ClaimTaken(stored_claim.incarnation, stored_claim.body_digest)
+        return ClaimWithheld(self._hold.retry_after)
+
+    async def _accept(self, name: str, claim: ClaimRecord, version: int, era: int) -> ClaimOutcome:
+        """Hold a claim that is in the store, if no other entry can have held the key before.
+
+        ``era`` was open when this entry began the claim.
+        """
+        if era_of(version) == era and self._is_given_out(era):
+            self._held.add(name, claim, version)
+            return ClaimAcquired()
+        self._hold.record_era(era_of(version))
+        if not await self._hold.is_open():
+            return ClaimWithheld(self._hold.retry_after)
+        return await self._confirm(name, claim, version)
+
+    async def _confirm(self, name: str, claim: ClaimRecord, version: int) -> ClaimOutcome:
+        """Write a claim again that was begun before its era was open.
+
+        An earlier holder may have replaced it. Only a write shows that, since reads may be stale.
+        """
+        era = self._hold.era
+        try:
+            version = await self._store.put(name, claim.encode(), version)
+        except StoreConflictError:
+            return await self._look_up(name, claim.token)
+        except StoreError as error:
+            return ClaimUnsettled(str(error))
+        if era_of(version) == era and self._is_given_out(era):
+            self._held.add(name, claim, version)
+            return ClaimAcquired()
+        self._hold.record_era(era_of(version))
+        return ClaimWithheld(self._hold.retry_after)
+
+    def _is_given_out(self, era: int) -> bool:
+        return era == self._hold.era and not self._hold.is_active
+
+    def _keep_open(self, name: str, begun: _OpenClaim) -> None:
+        self._open_by_name[name] = begun
+        while len(self._open_by_name) > MAX_OPEN_CLAIMS:
+            self._open_by_name.popitem(last=False)
--- a/briarspur/coord/memorystore.py
+++ b/briarspur/coord/memorystore.py
@@ -7,10 +7,11 @@
 
 import asyncio
 from collections import Counter, deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
 
+from briarspur.coord.era import number_of, revision_in_era
 from briarspur.coord.errors import (
     StoreConflictError,
     StoreThrottledError,
@@ -61,6 +62,8 @@
 
     Attributes
     ----------
+    era : int
+        Incremented by each return from an older copy; versions contain it.
     down : bool
         Every call is refused, and waiting watches are aborted.
     stale_by : int
@@ -74,6 +77,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.down = False
         self.stale_by = 0
         self.watches_miss_changes = False
@@ -81,7 +85,7 @@
         self.held_calls: list[HeldCall] = []
         self.calls_by_kind: Counter[str] = Counter()
         self._objects_by_name: dict[str, StoredObject] = {}
-        self._last_version_by_name: dict[str, int] = {}
+        self._last_number = 0
         self._history: deque[dict[str, StoredObject]] = deque(maxlen=MAX_HISTORY)
         self._faults: deque[StoreFault] = deque()
         self._watchers_by_name: dict[str, list[asyncio.Future[None]]] = {}
@@ -99,6 +103,23 @@
         """End an outage."""
         self.down = False
 
+    def restore(self, lost: int) -> None:
+        """Return from a copy without the latest ``lost`` writes, limited by the history kept."""
+        self.era += 1
+        for _ in range(min(lost, len(self._history))):
+            self._objects_by_name = self._history.pop()
+        self._history.clear()
+        self._objects_by_name = {
+            name: replace(stored, version=revision_in_era(self.era, number_of(stored.version)))
+            for name, stored in self._objects_by_name.items()
+        }
+        numbers = [number_of(stored.version) for stored in self._objects_by_name.values()]
+        self._last_number = max(numbers, default=0)
+
+    def drop_history(self) -> None:
+        """Make the current state the oldest one that reads and copies can show."""
+        self._history.clear()
+
     def peek(self, name: str) -> StoredObject | None:
         """Return the newest state of an object, unaffected by faults."""
         return self._objects_by_name.get(name)
@@ -125,7 +146,7 @@
         if fault is StoreFault.LOST_REQUEST:
             raise StoreUnclearError(name)
         self._check_version(name, expected_version, fault)
-        version = self._last_version_by_name.get(name, ABSENT) + 1
+        version = revision_in_era(self.era, self._last_number + 1)
         self._apply_change(name, StoredObject(name, version, value))
         if fault is StoreFault.LOST_ANSWER:
             raise StoreUnclearError(name)
@@ -196,7 +217,7 @@
             del self._objects_by_name[name]
         else:
             # Versions keep increasing after a deletion, so that no version is ever used twice.
-            self._last_version_by_name[name] = changed.version
+            self._last_number = number_of(changed.version)
             self._objects_by_name[name] = changed
         self._wake_watchers(name)
 
--- a/briarspur/coord/once.py
+++ b/briarspur/coord/once.py
@@ -110,6 +110,11 @@
         """Latest unix time in seconds; it never decreases and is 0 before the first update."""
         return max(self._unix_time, 0.0)
 
+    @property
+    def retention(self) -> float:
+        """Seconds after its first request until a foreign key is certainly forgotten."""
+        return self._max_lifetime + self._skew
+
     def records(self) -> Iterator[KeyRecord]:
         """Yield all records, oldest first."""
         yield from self._records_by_text.values()
--- a/briarspur/coord/store.py
+++ b/briarspur/coord/store.py
@@ -11,7 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """An object with its version, which is at least 1 and increases with each write."""
+    """An object with its version, which is at least 1 and increases with each write of the store.
+
+    Of two objects, that with the higher version was written later.
+    """
 
     name: str
     version: int
@@ -26,6 +29,10 @@
     ``StoreUnclearError`` (the answer was lost, so the write may have taken effect).
     """
 
+    @property
+    def era(self) -> int:
+        """The latest era in any response; it rises when the store returns from an older copy."""
+
     async def get(self, name: str) -> StoredObject | None:
         """Return the object, or None if it does not exist."""
 
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -14,10 +14,14 @@
 
 from briarspur import logs
 from briarspur.backend import BackendClient
+from briarspur.claimrecovery import ClaimRecovery
 from briarspur.coord.address import Address
+from briarspur.coord.claimhold import ClaimHold
+from briarspur.coord.claimholders import ClaimHolders
 from briarspur.coord.claims import Claims
 from briarspur.coord.errors import StoreConflictError, StoreError
 from briarspur.coord.follower import Follower
+from briarspur.coord.heldclaims import HeldClaims
 from briarspur.coord.members import Member
 from briarspur.coord.membership import Membership
 from briarspur.coord.outcomes import OutcomePage, close_and_export
@@ -77,6 +81,7 @@
         self._client = BackendClient(self._reactor, source=source)
         self._peers = PeerClient()
         self._peering: Peering | None = None
+        self._claim_recovery: ClaimRecovery | None = None
         self._peer_server: PeerServer | None = None
         # Probe order and delays must differ between entries, or all would act simultaneously.
         self._rng = random.Random(
@@ -201,7 +206,7 @@
 
     def _on_core_created(self, core: Core) -> None:
         """Start to serve requests and to exchange messages with other entries."""
-        claims = Claims(self.store, self._incarnation, secrets.token_urlsafe)
+        recovery, claims = self._make_claims(core)
         settings = DriverSettings(
             self.settings.entry_id,
             self.settings.limits.remembered_answer_bytes,
@@ -224,14 +229,49 @@
         gc.collect()
         gc.freeze()
         self._server.request_handler = self._driver
-        self._peering = self._make_peering(core)
+        self._peering = self._make_peering(core, recovery)
         self._peering.publish_view()
         self._peer_server = PeerServer(self._peering)
         self._start(self._peer_server.start(self.settings.host, self.settings.peer_port))
         self._start(self._peering.run())
         self._start(self._peering.poll_vm_list())
 
-    def _make_peering(self, core: Core) -> Peering:
+    def _make_claims(self, core: Core) -> tuple[ClaimRecovery, Claims]:
+        """Return the claims of this process and their recovery, which is started."""
+        wall, keys = self._clock.wall, core.keys
+        hold = ClaimHold(
+            self.store,
+            lambda: keys.retention,
+            skew=core.settings.key_skew,
+            read_interval=lambda: recovery.read_interval,
+            wall=wall,
+            clock=self._clock.monotonic,
+        )
+        held = HeldClaims(
+            self.store, lambda: keys.retention, lambda: recovery.write_interval, wall=wall
+        )
+        recovery = ClaimRecovery(
+            self._incarnation,
+            hold,
+            held,
+            ClaimHolders(self.settings.store_copy_age_s),
+            self._peers,
+            self._clock.monotonic,
+            self._rng,
+        )
+        self._claim_recovery = recovery
+        self._start(recovery.run())
+        claims = Claims(
+            self.store,
+            self._incarnation,
+            secrets.token_urlsafe,
+            wall=wall,
+            hold=hold,
+            held=held,
+        )
+        return recovery, claims
+
+    def _make_peering(self, core: Core, recovery: ClaimRecovery) -> Peering:
         settings = self.settings
         own_member = Member(
             member_id=settings.entry_id,
@@ -254,6 +294,7 @@
             vms=self._vms,
             on_view=self._view_changed,
             load_report=self.node.load_report,
+            describe_claims=recovery.describe,
             clock=self._clock.monotonic,
             rng=self._rng,
             times=PeeringTimes(period=settings.probe_interval_s),
@@ -286,6 +327,8 @@
 
     def _view_changed(self, view: MemberView) -> None:
         self.node.view_changed(view)
+        if self._claim_recovery is not None:
+            self._claim_recovery.view_changed(view)
         self._follow.set_members(
             {entry_id: member.zone for entry_id, member in view.by_id.items() if not member.leaving}
         )
--- a/briarspur/keystore.py
+++ b/briarspur/keystore.py
@@ -4,7 +4,13 @@
 import time
 from collections.abc import Callable
 
-from briarspur.coord.claims import ClaimAcquired, Claims, ClaimTaken, ClaimUnsettled
+from briarspur.coord.claims import (
+    ClaimAcquired,
+    Claims,
+    ClaimTaken,
+    ClaimUnsettled,
+    ClaimWithheld,
+)
 from briarspur.coord.keys import Key, parse_key
 from briarspur.coord.outcomes import (
     FinishedOutcome,
@@ -68,6 +74,8 @@
             return SettledClaim(ClaimResult.ACQUIRED)
         if isinstance(outcome, ClaimTaken):
             return SettledClaim(ClaimResult.TAKEN, outcome.incarnation)
+        if isinstance(outcome, ClaimWithheld):
+            return SettledClaim(ClaimResult.UNSETTLED, retry_after=outcome.retry_after)
         return SettledClaim(ClaimResult.UNSETTLED)
 
     def _is_store_unavailable(self) -> bool:
--- a/briarspur/messages.py
+++ b/briarspur/messages.py
@@ -84,10 +84,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SettledClaim:
-    """The result of a claim, and the incarnation that holds it if it is taken."""
+    """The result of a claim.
+
+    Attributes
+    ----------
+    holder : str or None
+        The incarnation that holds the claim, if it is taken.
+    retry_after : float or None
+        Seconds after which an unsettled claim can succeed, if that is known.
+    """
 
     result: ClaimResult
     holder: str | None = None
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/briarspur/peering.py
+++ b/briarspur/peering.py
@@ -11,6 +11,7 @@
 from grpclib.exceptions import GRPCError
 
 from briarspur import logs
+from briarspur.claimrecovery import RESTORED_CLAIMS_NAME
 from briarspur.coord.address import Address
 from briarspur.coord.errors import StoreError
 from briarspur.coord.joining import Joining
@@ -71,6 +72,9 @@
         Called with each new view of the live entries.
     load_report : callable
         Returns this entry's load report, for the planner.
+    describe_claims : callable
+        Returns through which era this entry's claims are in the store, given the revision that
+        the asking entry knows.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         vms: VmReader,
         on_view: Callable[[MemberView], None],
         load_report: Callable[[], bytes],
+        describe_claims: Callable[[int], ObjectCopy],
         clock: Callable[[], float],
         rng: random.Random,
         times: PeeringTimes,
@@ -93,6 +98,7 @@
         self._vms = vms
         self._on_view = on_view
         self._load_report = load_report
+        self._describe_claims = describe_claims
         self._clock = clock
         self._rng = rng
         self._times = times
@@ -148,6 +154,8 @@
         if name == MEMBERS_NAME:
             value = updates_to_wire(self._membership.snapshot())
             return ObjectCopy(MEMBERS_NAME, newer_than + 1, b"", value)
+        if name == RESTORED_CLAIMS_NAME:
+            return self._describe_claims(newer_than)
         return self._follow.copy(name, newer_than)
 
     async def on_offer(self, copy: ObjectCopy) -> int:
--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -167,8 +167,8 @@
         elif claim.result is ClaimResult.TAKEN:
             self._send_to_holder(work, key, claim.holder, view, now, out)
         else:
-            refusal = Refusal(Code.STORE_UNAVAILABLE, retry_after=CLAIM_RETRY_AFTER_S)
-            self.refuse(work, refusal, out)
+            retry_after = claim.retry_after or CLAIM_RETRY_AFTER_S
+            self.refuse(work, Refusal(Code.STORE_UNAVAILABLE, retry_after=retry_after), out)
 
     def _send_to_holder(
         self,
--- a/briarspur/platform/objectstore.py
+++ b/briarspur/platform/objectstore.py
@@ -57,6 +57,11 @@
         """Close the pooled connections."""
         await self._calls.close()
 
+    @property
+    def era(self) -> int:
+        """The latest era in any response; 0 if the store doesn't tell its era."""
+        return self._calls.era
+
     async def get(self, name: str) -> StoredObject | None:
         """Return the object, or None if it does not exist."""
         item = await self._calls.get(*kind_and_name(name))
--- a/briarspur/settings.py
+++ b/briarspur/settings.py
@@ -52,6 +52,12 @@
         le=3_600.0,
         description="time to keep serving after cached look-ups expired",
     )
+    store_copy_age_s: float = Field(
+        default=30.0,
+        ge=0.0,
+        le=3_600.0,
+        description="maximum age of the copy that the platform's store may return from",
+    )
     seed: int | None = Field(default=None, description="for reproducible tests only")
 
 
--- a/tests/compat/store_contract.py
+++ b/tests/compat/store_contract.py
@@ -51,6 +51,18 @@
 
         self.with_store(work)
 
+    def test_versions_of_all_objects_are_in_one_order(self) -> None:
+        async def work(store: ObjectStore) -> None:
+            versions = [
+                await store.put("a/1", b"", ABSENT),
+                await store.put("b/1", b"", ABSENT),
+                await store.put("a/2", b"", ABSENT),
+                await store.put("c", b"", ABSENT),
+            ]
+            self.assertEqual(sorted(set(versions)), versions)
+
+        self.with_store(work)
+
     def test_a_write_at_another_version_is_a_conflict(self) -> None:
         async def work(store: ObjectStore) -> None:
             version = await store.put("a", b"1", ABSENT)
--- a/tests/coord/test_once_machine.py
+++ b/tests/coord/test_once_machine.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -19,7 +20,9 @@
     rule,
 )
 
+from briarspur.coord.claimhold import ClaimHold
 from briarspur.coord.claims import ClaimAcquired, ClaimOutcome, Claims, ClaimTaken
+from briarspur.coord.heldclaims import HeldClaims
 from briarspur.coord.invariants import invariants
 from briarspur.coord.keys import Key, parse_key
 from briarspur.coord.keystates import Fresh, KeptAnswer, KeyState, NotHome
@@ -28,6 +31,7 @@
 from briarspur.coord.outcomes import NeverRun, close_and_export, page_name, read_outcome
 from briarspur.coord.proofs import NotRun, NotRunProof
 
+MAX_CALLS_TO_RESTORE = 6
 ENTRY_COUNT = 3
 WALL = 1_000_000.0
 LIFETIME = 60.0
@@ -72,6 +76,9 @@
     incarnation: str
     memory: KeyMemory
     claims: Claims
+    hold: ClaimHold
+    held: HeldClaims
+    restoring: asyncio.Task[bool] | None = None
     pending_claims: dict[Key, asyncio.Task[ClaimOutcome]] = field(default_factory=dict)
     queue: list[Key] = field(default_factory=list)
 
@@ -87,6 +94,7 @@
         self.store.hold_calls = True
         self.now = 0.0
         self.wall = WALL
+        self.has_lost_holders = False
         self.numbers = itertools.count(1)
         self.undelivered: list[Message] = []
         self.ledger: Counter[str] = Counter()
@@ -107,10 +115,22 @@
     def start_entry(self) -> Entry:
         incarnation = f"{next(self.numbers):016x}"
         tokens = (f"{incarnation}-{n}" for n in itertools.count())
+        # Callers of this machine repeat keys for ever, so a hold never ends by time.
+        hold = ClaimHold(
+            self.store, lambda: math.inf, 0, read_interval=lambda: 0.0, wall=lambda: self.wall
+        )
+        held = HeldClaims(self.store, lambda: math.inf, wall=lambda: self.wall)
         claims = Claims(
-            self.store, incarnation, lambda: next(tokens), max_attempts=2, retry_delay=0.0
+            self.store,
+            incarnation,
+            lambda: next(tokens),
+            max_attempts=2,
+            retry_delay=0.0,
+            hold=hold,
+            held=held,
         )
-        entry = Entry(incarnation, KeyMemory(incarnation, 2, LIFETIME, skew=2.0), claims)
+        memory = KeyMemory(incarnation, 2, LIFETIME, skew=2.0)
+        entry = Entry(incarnation, memory, claims, hold, held)
         self.entries_by_incarnation[incarnation] = entry
         return entry
 
@@ -260,6 +280,45 @@
         if isinstance(outcome, ClaimTaken) and outcome.incarnation != entry.incarnation:
             self.send_home(outcome.incarnation, key)
 
+    # A store that returns from an older copy
+
+    @rule(lost=st.integers(1, 4))
+    def return_store(self, lost: int) -> None:
+        self.store.restore(lost)
+
+    @precondition(lambda self: self.store.era)
+    @rule(index=st.integers(0, ENTRY_COUNT - 1))
+    def restore_claims(self, index: int) -> None:
+        entry = self.entries[index]
+        if entry.restoring is None or entry.restoring.done():
+            entry.restoring = self.loop.create_task(entry.held.restore(entry.hold.era))
+            self.run_loop()
+
+    @precondition(lambda self: self.store.era and not self.has_lost_holders)
+    @rule(index=st.integers(0, ENTRY_COUNT - 1))
+    def give_out_claims(self, index: int) -> None:
+        """End the hold, which requires that all entries have written their claims."""
+        era = self.store.era
+        if any(e.hold.era < era or e.held.restored_era < era for e in self.entries):
+            return
+        self.store.hold_calls = False
+        self.loop.run_until_complete(self.entries[index].hold.reopen())
+        self.store.hold_calls = True
+
+    @rule(index=st.integers(0, ENTRY_COUNT - 1), lost=st.integers(1, 4), is_repaired=st.booleans())
+    def return_and_repair(self, index: int, lost: int, is_repaired: bool) -> None:
+        """Return the store and, at once, do all that follows, so that long histories occur."""
+        self.store.restore(lost)
+        if not is_repaired:
+            return
+        for number in range(ENTRY_COUNT):
+            self.restore_claims(number)
+            for _ in range(MAX_CALLS_TO_RESTORE):
+                if self.store.held_calls:
+                    self.release_call(self.store.held_calls[-1], None)
+        if not self.has_lost_holders:
+            self.give_out_claims(index)
+
     # Faults of entries and clocks
 
     @rule(
@@ -299,6 +358,10 @@
             )
 
     def kill(self, index: int) -> None:
+        killed = self.entries[index]
+        self.has_lost_holders |= killed.held.restored_era < self.store.era
+        # The copies that the store returns from are younger.
+        self.store.drop_history()
         del self.entries_by_incarnation[self.entries[index].incarnation]
         self.entries[index] = self.start_entry()
 
--- a/tests/scenarios/smallsystem.py
+++ b/tests/scenarios/smallsystem.py
@@ -57,6 +57,10 @@
 """Deadline of timetables and bookings, equal to the default of the policy."""
 
 
+COPY_AGE_S = 3.0
+"""Maximum age of the store's copy; short, so that entries are soon older than that."""
+
+
 def make_documents(deadline_ms: int = DEADLINE_MS) -> dict[str, dict[str, Any]]:
     """Return the documents of the deployment by file name, without suffix."""
     policy = small_policy(targets=2, entries=2)
@@ -97,6 +101,7 @@
             "forward_port": 7002,
             "peer_port": 7003,
             "probe_interval_s": 0.3,
+            "store_copy_age_s": COPY_AGE_S,
         }
     for number, zone in enumerate(("north-a", "south-a"), 1):
         documents[f"steer-{number}"] = {
--- a/tests/test_core_once.py
+++ b/tests/test_core_once.py
@@ -128,6 +128,15 @@
         self.assertTrue(sent.relay_refusals)
         self.assertFalse(sent.dispatch_only)
 
+    def test_a_withheld_claim_is_refused_at_once_with_its_retry_after(self) -> None:
+        """Guards against callers who can't know when their key will be accepted."""
+        claim = self.driver.send_request("POST", "/booking/new", key="my-own-key")[0]
+        settled = SettledClaim(ClaimResult.UNSETTLED, retry_after=640.0)
+        [refused] = self.core.claim_settled(claim.request_id, settled, 0.1)
+        self.assertEqual(
+            (Code.STORE_UNAVAILABLE, 640.0), (refused.refusal.code, refused.refusal.retry_after)
+        )
+
     def test_claim_is_still_usable_after_its_caller_disconnected(self) -> None:
         """Guards against a key with which a booking can never be made.
 
--- a/tests/test_keystore.py
+++ b/tests/test_keystore.py
@@ -4,11 +4,21 @@
 import unittest
 from typing import cast
 
-from briarspur.coord.claims import ClaimAcquired, ClaimOutcome, Claims, ClaimUnsettled
+from briarspur.coord.claims import (
+    ClaimAcquired,
+    ClaimOutcome,
+    Claims,
+    ClaimUnsettled,
+    ClaimWithheld,
+)
 from briarspur.coord.keys import Key
+from briarspur.coord.keystates import KeptAnswer
 from briarspur.coord.memorystore import MemoryStore
+from briarspur.coord.outcomes import close_and_export
+from briarspur.coord.store import ABSENT
 from briarspur.keystore import SLOW_CLAIM_S, UNSETTLED_PAUSE_S, ObjectKeyStore
-from briarspur.messages import ClaimResult
+from briarspur.messages import ClaimResult, SettledClaim
+from tests.coord.test_once import WALL, make_memory
 
 KEY = "a-foreign-key"
 
@@ -54,6 +64,29 @@
         now[0] += UNSETTLED_PAUSE_S
         self.assertIs((await keys.claim(KEY, b"")).result, ClaimResult.ACQUIRED)
 
+    async def test_a_withheld_claim_does_not_stop_others(self) -> None:
+        """Guards against repeats of keys with a claim that are refused since a new key was."""
+        claims = ScriptedClaims(ClaimWithheld(7.0), ClaimAcquired())
+        keys = ObjectKeyStore(MemoryStore(), cast(Claims, claims), clock=lambda: 100.0)
+        withheld = SettledClaim(ClaimResult.UNSETTLED, retry_after=7.0)
+        self.assertEqual(withheld, await keys.claim(KEY, b""))
+        self.assertIs((await keys.claim("another-key", b"")).result, ClaimResult.ACQUIRED)
+
+    async def test_a_claim_whose_outcome_page_was_lost_has_an_unknown_outcome(self) -> None:
+        """Guards against a key that runs again since a planned stop's pages went with the copy."""
+        memory = make_memory()
+        memory.admit_request(Key(KEY), b"", "r1", 0.0, WALL)
+        memory.mark_claimed(Key(KEY))
+        memory.mark_dispatched(Key(KEY), 1)
+        memory.mark_finished(Key(KEY), KeptAnswer(200, (), b"booked"), 0.0)
+        store = MemoryStore()
+        keys = ObjectKeyStore(store, cast(Claims, ScriptedClaims()))
+        for page in close_and_export(memory):
+            await store.put(page.name, page.value, ABSENT)
+        self.assertTrue((await keys.fetch(memory.incarnation, KEY)).found)
+        store.restore(1)
+        self.assertFalse((await keys.fetch(memory.incarnation, KEY)).found)
+
     async def test_claims_are_refused_at_once_while_another_claim_hangs(self) -> None:
         """Callers with their own keys must not wait 2 s each at the start of an outage.
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -74,6 +74,7 @@
             vms=cast(Any, None),
             on_view=lambda view: None,
             load_report=lambda: b"{}",
+            describe_claims=lambda newer_than: ObjectCopy("restored-claims", 1, b"", b""),
             clock=lambda: 1.0,
             rng=random.Random(1),
             times=PeeringTimes(),
