Spread the entries' reads of the hold, and restore claims over malformed ones

Cause: all entries noticed a return at the same moment and each recorded the hold: 300 entries made 300 writes of it in the first second, beside the claims that they wrote again. A malformed object in the place of a lost claim ended the recovery of its entry, so that new keys would have been withheld until callers no longer repeat their keys.

The test of a malformed claim failed before with a ValueError.

--- a/briarspur/claimrecovery.py
+++ b/briarspur/claimrecovery.py
@@ -93,13 +93,16 @@
         self._sleep = sleep
         self._members_by_incarnation: dict[str, ViewedMember] = {}
         self._began_at: float | None = None
-        self._knew_earlier_era = False
         self._questions = asyncio.Semaphore(MAX_QUESTIONS)
 
     @property
     def read_interval(self) -> float:
         """Seconds between two reads of the hold's record by one entry."""
-        return max(STEP_S, len(self._members_by_incarnation) / STORE_READS_PER_S)
+        return max(STEP_S, self._store_read_interval)
+
+    @property
+    def _store_read_interval(self) -> float:
+        return len(self._members_by_incarnation) / STORE_READS_PER_S
 
     @property
     def write_interval(self) -> float:
@@ -136,8 +139,10 @@
         if not self._hold.is_active:
             self._end()
             return
-        if self._hold.open_era is not None:
+        if self._hold.open_era is not None and self._began_at is None:
             self._begin()
+            # All entries may notice the return at the same moment.
+            await self._sleep(self._rng.random() * self._store_read_interval)
         era = self._hold.era
         # An entry that has claims to write is asked later, so it doesn't matter that this may fail.
         if self._held.restored_era < era and await self._held.restore(era):
@@ -149,10 +154,9 @@
             await self._collect(era)
 
     def _begin(self) -> None:
-        if self._began_at is None:
-            self._began_at = self._clock()
-            self._holders.begin_recovery(self._began_at)
-            logs.event("claims-withheld", era=self._hold.era)
+        self._began_at = self._clock()
+        self._holders.begin_recovery(self._began_at)
+        logs.event("claims-withheld", era=self._hold.era)
 
     def _end(self) -> None:
         if self._began_at is not None:
--- a/briarspur/coord/heldclaims.py
+++ b/briarspur/coord/heldclaims.py
@@ -133,7 +133,7 @@
                 return await self._store.put(name, record.encode(), ABSENT), False
             except StoreConflictError:
                 found = await self._store.get(name)
-            if found is not None and ClaimRecord.decode(found.value).token == record.token:
+            if found is not None and _is_same_claim(found.value, record):
                 return found.version, True
             if found is not None:
                 # Another entry created it after the return. Its request was not run, since new
@@ -150,3 +150,10 @@
             if self._held_by_name[name].record.created_at > oldest_kept:
                 return
             del self._held_by_name[name]
+
+
+def _is_same_claim(value: bytes, record: ClaimRecord) -> bool:
+    try:
+        return ClaimRecord.decode(value).token == record.token
+    except (ValueError, KeyError, TypeError):
+        return False
--- a/tests/coord/test_heldclaims.py
+++ b/tests/coord/test_heldclaims.py
@@ -89,12 +89,14 @@
 
     async def test_a_claim_that_another_entry_created_meanwhile_is_replaced(self) -> None:
         """Guards against an entry that did not know of the return and claimed a lost key."""
-        await self.acquire("c1")
-        self.store.restore(1)
         other = ClaimRecord("token-of-b", "b", b"", self.wall)
-        await self.store.put("c1", other.encode(), ABSENT)
-        self.assertTrue(await self.held.restore(1))
-        self.assert_in_store("c1")
+        for value in (other.encode(), b"malformed", b"{}"):
+            self.setUp()
+            await self.acquire("c1")
+            self.store.restore(1)
+            await self.store.put("c1", value, ABSENT)
+            self.assertTrue(await self.held.restore(1))
+            self.assert_in_store("c1")
 
     async def test_a_return_during_the_repair_is_not_overlooked(self) -> None:
         """Guards against an entry that reports claims as restored which the store lost again."""
--- a/tests/test_claimrecovery.py
+++ b/tests/test_claimrecovery.py
@@ -46,8 +46,18 @@
             EntryAddress(f"e{number}", "127.0.0.1", 1, 2, number), self.incarnation, "north", "a"
         )
         store = fleet.store
-        hold = ClaimHold(store, lambda: LIFETIME_S, skew=SKEW_S, wall=fleet.wall, clock=now)
-        held = HeldClaims(store, lambda: LIFETIME_S, lambda: 0.01, wall=fleet.wall)
+        hold = ClaimHold(
+            store,
+            lambda: LIFETIME_S,
+            skew=SKEW_S,
+            read_interval=lambda: self.recovery.read_interval,
+            wall=fleet.wall,
+            clock=now,
+        )
+        held = HeldClaims(
+            store, lambda: LIFETIME_S, lambda: self.recovery.write_interval, wall=fleet.wall
+        )
+        self.hold = hold
         self.held = held
         self.recovery = ClaimRecovery(
             self.incarnation,
