--- a/tools/claimcost.py
+++ b/tools/claimcost.py
@@ -103,14 +103,14 @@
     returned_at = now()
     living = list(fleet.entries_by_port.values())
     while now() - returned_at < MAX_HOLD_S:
-        if all(not entry.hold.is_active for entry in living):
+        if all(entry.hold.open_era == store.era for entry in living):
             break
         await asyncio.sleep(0.1)
     refused_s = now() - returned_at
     outcome = await living[0].claim(Key("a-new-key"))
     assert refused_s >= MAX_HOLD_S or outcome == ClaimAcquired(), outcome
     for entry in living:
-        entry.task.cancel()
+        entry.stop()
     writes, reads = store.writes_by_second, store.reads_by_second
     shown = range(SHOWN_S)
     return Cost(refused_s, [writes[s] for s in shown], [reads[s] for s in shown], writes.total())
