--- a/tools/claimcost.py
+++ b/tools/claimcost.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from briarspur.coord.claimhold import HOLD_NAME
+from briarspur.coord.claimholders import ClaimHolders, PendingHolders
 from briarspur.coord.claimrecord import ClaimRecord
 from briarspur.coord.claims import ClaimAcquired
 from briarspur.coord.era import number_of, revision_in_era
@@ -20,6 +21,7 @@
 
 __all__ = ["Cost", "CountingStore", "main", "play"]
 
+PENDING = ClaimHolders.pending
 CALL_S = 0.004
 MAX_HOLD_S = 1_000.0
 SHOWN_S = 4
@@ -125,6 +127,12 @@
     fleet.kill(entries[0])
 
 
+def pending_among_members(holders: ClaimHolders, era: int) -> PendingHolders | None:
+    """Return the members that have not confirmed, as if no entry were gone."""
+    pending = PENDING(holders, era)
+    return None if pending is None else replace(pending, gone=frozenset())
+
+
 def main() -> None:
     """Play the cases and print a table."""
     print(f"copies of up to {COPY_AGE_S:.0f} s; calls in the first {SHOWN_S} s after the return")
@@ -142,6 +150,8 @@
         show(count, held, lost, disturb, "")
     with mock.patch("briarspur.claimrecovery.COLLECTORS", 0):
         show(10, 1_000, 20, leave_alone, ", by time alone")
+    with mock.patch.object(ClaimHolders, "pending", pending_among_members):
+        show(10, 1_000, 20, kill_one, ", by living holders alone")
 
 
 def show(
