Record an ended hold by a time that is past by every clock

Cause: the first entry recorded its own time as the end of a hold that was never needed, and an entry whose clock is behind waited for it.

Evidence: test_a_first_start_at_a_store_that_never_returned_waits_for_nothing, with a second entry 20 s behind, failed before (ClaimWithheld). The end is 0 now, as where a hold is ended early. Claims are accepted in one place, and two parts that nothing used are gone.

--- a/briarspur/coord/claimhold.py
+++ b/briarspur/coord/claimhold.py
@@ -30,6 +30,8 @@
 FIRST_HOLD_S = 5.0
 """Hold of a store without a record, which no entry of this release has used: long enough for an
 entry that knows of a return to replace the record."""
+ENDED = 0.0
+"""Time in the past by every clock."""
 CLOCKS_COMPARED = 2
 """The writer's clock is compared with those of the claims' holders and those of its readers."""
 
@@ -137,11 +139,6 @@
         """Whether new claims are withheld, as far as this entry knows."""
         return self._open_era != self.era
 
-    @property
-    def reopens_at(self) -> float:
-        """Unix time in seconds at which the hold ends at the latest; infinite if unknown."""
-        return self._record.reopens_at if self._record.era == self.era else math.inf
-
     @property
     def retry_after(self) -> float:
         """Seconds after which a caller may expect that its key can be claimed."""
@@ -169,7 +166,7 @@
 
         Call this only if no claim of an earlier era can be missing in the store.
         """
-        return await self._change(lambda record: replace(record, reopens_at=0.0))
+        return await self._change(lambda record: replace(record, reopens_at=ENDED))
 
     async def record_lost_holders(self) -> bool:
         """Record that the hold is unlikely to end early; return whether that is recorded."""
@@ -182,7 +179,7 @@
             self.record_era(era_of(found.version))
         record = None if found is None else _Record.decode(found.value)
         if record is None or self._is_outdated(record):
-            record = await self._begin(found, record)
+            record = await self._begin(found)
         self._apply(record)
 
     def _is_outdated(self, record: _Record) -> bool:
@@ -191,15 +188,17 @@
         # An entry that started after the return and found no record knows nothing of the return.
         return record.is_first and self._open_era is not None and record.era == self.era
 
-    async def _begin(self, found: StoredObject | None, earlier: _Record | None) -> _Record:
-        """Record a hold of the current era."""
+    async def _begin(self, found: StoredObject | None) -> _Record:
+        """Record a hold of the current era in place of the object that was found."""
         era = self.era
         is_first = found is None and self._open_era is None
-        if is_first:
-            duration = FIRST_HOLD_S if era else 0.0
+        if not is_first:
+            reopens_at = self._wall() + self._lifetime() + CLOCKS_COMPARED * self._skew
+        elif era:
+            reopens_at = self._wall() + FIRST_HOLD_S
         else:
-            duration = self._lifetime() + CLOCKS_COMPARED * self._skew
-        record = _Record(era, self._wall() + duration, is_first=is_first)
+            reopens_at = ENDED
+        record = _Record(era, reopens_at, is_first=is_first)
         version = ABSENT if found is None else found.version
         written = await self._store.put(HOLD_NAME, record.encode(), version)
         # If the store returned in between, or told its era for the first time, this record is of an
--- a/briarspur/coord/claims.py
+++ b/briarspur/coord/claims.py
@@ -220,10 +220,8 @@
 
         ``era`` was open when this entry began the claim.
         """
-        if era_of(version) == era and self._is_given_out(era):
-            self._held.add(name, claim, version)
+        if self._acquire(name, claim, version, era):
             return ClaimAcquired()
-        self._hold.record_era(era_of(version))
         if not await self._hold.is_open():
             return ClaimWithheld(self._hold.retry_after)
         return await self._confirm(name, claim, version)
@@ -240,14 +238,17 @@
             return await self._look_up(name, claim.token)
         except StoreError as error:
             return ClaimUnsettled(str(error))
-        if era_of(version) == era and self._is_given_out(era):
-            self._held.add(name, claim, version)
+        if self._acquire(name, claim, version, era):
             return ClaimAcquired()
-        self._hold.record_era(era_of(version))
         return ClaimWithheld(self._hold.retry_after)
 
-    def _is_given_out(self, era: int) -> bool:
-        return era == self._hold.era and not self._hold.is_active
+    def _acquire(self, name: str, claim: ClaimRecord, version: int, era: int) -> bool:
+        """Hold a claim if it was begun and written in the era that is open now."""
+        self._hold.record_era(era_of(version))
+        if self._hold.is_active or not era_of(version) == era == self._hold.era:
+            return False
+        self._held.add(name, claim, version)
+        return True
 
     def _keep_open(self, name: str, begun: _OpenClaim) -> None:
         self._open_by_name[name] = begun
--- a/tests/coord/test_claims.py
+++ b/tests/coord/test_claims.py
@@ -110,6 +110,9 @@
         """Guards against a price without a return."""
         claims = self.make_claims("a", self.make_hold(open_era=None))
         self.assertEqual(ClaimAcquired(), await claims.claim(KEY, DIGEST))
+        self.wall -= 20.0
+        with_a_slow_clock = self.make_claims("b", self.make_hold(open_era=None))
+        self.assertEqual(ClaimAcquired(), await with_a_slow_clock.claim(OTHER_KEY, DIGEST))
 
     async def test_an_entry_that_knows_of_the_return_replaces_a_short_hold(self) -> None:
         """Guards against a new process that finds no record since the store lost it."""
