Log how it was found out whether a server crashed where a request was lost

The logs named only that a request was suspended and resumed, so a resumption by wrong evidence, one by news, and one by a loss that was forgotten looked the same. Losses of requests that were lost at one server only are not logged, as single losses are frequent while answers get lost. No change of behaviour.

--- a/briarspur/gateway/loss.py
+++ b/briarspur/gateway/loss.py
@@ -1,9 +1,9 @@
 """Attempts without an answer, as entries report them to each other."""
 
 from dataclasses import dataclass, replace
-from enum import IntEnum
+from enum import Enum, IntEnum
 
-__all__ = ["Loss", "LossState"]
+__all__ = ["Evidence", "Loss", "LossState"]
 
 
 class LossState(IntEnum):
@@ -14,6 +14,18 @@
     REFUTED = 2
 
 
+class Evidence(Enum):
+    """Why a loss was confirmed or refuted."""
+
+    UNREACHABLE = "the server was unreachable"
+    LAPSED = "the registration lapsed"
+    SERVER_ANSWERED = "the server answered later"
+    STILL_REGISTERED = "the server stayed registered"
+    REQUEST_ANSWERED = "the request was answered"
+    CUT_OFF = "this entry was cut off"
+    REPORTED = "reported by another entry"
+
+
 @dataclass(frozen=True, slots=True)
 class Loss:
     """An attempt without an answer, as one entry reports it to another.
--- a/briarspur/gateway/suspects.py
+++ b/briarspur/gateway/suspects.py
@@ -17,7 +17,7 @@
 from briarspur import logs
 from briarspur.coord.rendezvous import rank
 from briarspur.gateway.content import RequestContent
-from briarspur.gateway.loss import Loss, LossState
+from briarspur.gateway.loss import Evidence, Loss, LossState
 
 __all__ = ["Suspects"]
 
@@ -160,15 +160,17 @@
         is_trial = suspect.on_trial(now)
         for target, loss in suspect.by_target.items():
             if is_trial or loss.caller == content.caller:
-                self._advance(content.digest, target, LossState.REFUTED, now)
+                self._advance(
+                    content.digest, target, LossState.REFUTED, Evidence.REQUEST_ANSWERED, now
+                )
 
     def record_alive(self, target: int, since: float, now: float) -> None:
         """Refute the losses at a server that answered an attempt begun at the time ``since``."""
-        self._advance_at(target, since, LossState.REFUTED, now)
+        self._advance_at(target, since, LossState.REFUTED, Evidence.SERVER_ANSWERED, now)
 
     def record_unreachable(self, target: int, since: float, now: float) -> None:
         """Confirm the losses at a server that an attempt begun at ``since`` could not reach."""
-        self._advance_at(target, since, LossState.CONFIRMED, now)
+        self._advance_at(target, since, LossState.CONFIRMED, Evidence.UNREACHABLE, now)
 
     def record_registered(self, targets: Container[int], now: float) -> None:
         """Confirm the losses at servers whose registrations lapsed, and refute those at others.
@@ -183,16 +185,18 @@
                 if target not in targets:
                     # This entry may not know the servers of others' losses yet.
                     if loss.is_own:
-                        self._advance(content, target, LossState.CONFIRMED, now)
+                        self._advance(content, target, LossState.CONFIRMED, Evidence.LAPSED, now)
                 elif now - loss.at > REGISTRATION_LAPSE_S:
-                    self._advance(content, target, LossState.REFUTED, now)
+                    self._advance(
+                        content, target, LossState.REFUTED, Evidence.STILL_REGISTERED, now
+                    )
 
     def retract_own(self, since: float, now: float) -> None:
         """Refute this entry's losses since a time, since it didn't reach the servers then."""
         for content, suspect in self._by_content.items():
             for target, loss in suspect.by_target.items():
                 if loss.is_own and loss.at >= since:
-                    self._advance(content, target, LossState.REFUTED, now)
+                    self._advance(content, target, LossState.REFUTED, Evidence.CUT_OFF, now)
 
     def targets_to_check(self, now: float) -> list[int]:
         """Return the servers for which this entry should check now whether they can be reached."""
@@ -310,7 +314,7 @@
                 self._drop_oldest()
             suspect = self._by_content[report.content] = _Suspect()
         if report.target in suspect.by_target:
-            self._advance(report.content, report.target, report.state, now)
+            self._advance(report.content, report.target, report.state, Evidence.REPORTED, now)
             return
         at = now - report.age
         loss = _KnownLoss(report.caller, at, is_own, now, report.state, is_shared)
@@ -319,19 +323,38 @@
         self._changed[report.content, report.target] = loss
         if len(suspect.by_target) > MAX_LOSSES_PER_REQUEST:
             oldest = min(suspect.by_target, key=lambda target: suspect.by_target[target].at)
+            logs.event(
+                "loss-dropped",
+                content=f"{report.content:016x}",
+                server_number=f"{oldest:08x}",
+                state=suspect.by_target[oldest].state.name.lower(),
+            )
             self._drop_loss(report.content, oldest)
         self._update_suspension(report.content, suspect)
 
-    def _advance_at(self, target: int, since: float, state: LossState, now: float) -> None:
+    def _advance_at(
+        self, target: int, since: float, state: LossState, evidence: Evidence, now: float
+    ) -> None:
         """Advance the losses at a server that are older than an attempt begun at ``since``."""
         for content in tuple(self._contents_by_target.get(target, ())):
             if self._by_content[content].by_target[target].at < since:
-                self._advance(content, target, state, now)
+                self._advance(content, target, state, evidence, now)
 
-    def _advance(self, content: int, target: int, state: LossState, now: float) -> None:
+    def _advance(
+        self, content: int, target: int, state: LossState, evidence: Evidence, now: float
+    ) -> None:
         suspect = self._by_content[content]
         loss = suspect.by_target[target]
         if loss.advance(state, now):
+            # Single losses are frequent while answers get lost, so they are not logged.
+            if len(suspect.by_target) >= MIN_LOSSES_TO_CHECK:
+                logs.event(
+                    "loss-settled",
+                    content=f"{content:016x}",
+                    server_number=f"{target:08x}",
+                    state=state.name.lower(),
+                    evidence=evidence.value,
+                )
             self._changed.pop((content, target), None)
             self._changed[content, target] = loss
             self._update_suspension(content, suspect)
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -102,6 +102,8 @@
     "store-reader": "this entry started or stopped watching the store for its group",
     "group-speaker": "this entry started or stopped being the aggregator of its group's load",
     "entries-changed": "the set of live entries known to this entry changed",
+    "loss-dropped": "one of many losses of a request was forgotten",
+    "loss-settled": "it was found out whether a server crashed where a request was lost, and how",
     "news-malformed": "a datagram was not a valid news message of an entry",
     "news-not-sent": "a datagram could not be sent",
     "reloaded": "SIGHUP was received; requests and connections continue",
