--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -5,7 +5,9 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.web.http_headers import Headers
 
+from briarspur.answerhead import AnswerHead
 from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway import suspects as module
 from briarspur.gateway.content import RequestContent
@@ -21,6 +23,7 @@
     Suspects,
 )
 from briarspur.gateway.work import Attempt, Refused, Work
+from briarspur.platform.dialect import PlatformDialect
 from tests.gateway.crashfleet import CrashFleet
 from tests.gateway.samples import arrival, begun, steering
 
@@ -286,6 +289,23 @@
         core.attempt_ended(attempt, Outcome.TIMED_OUT, 2.0)
         self.assertFalse(core.suspects.is_suspected(content()))
 
+    def test_a_421_of_another_server_at_a_lost_address_does_not_resume_the_request(self) -> None:
+        """Guards against a request that is sent again as soon as the crashed servers are back."""
+        core = steering(6)
+        for _ in range(3):
+            attempt = core.next_attempt(self.begin(core), 0.0)
+            assert isinstance(attempt, Attempt)
+            attempt.sent = True
+            core.attempt_ended(attempt, Outcome.LOST, 0.0)
+            core.suspects.record_unreachable(attempt.target.number, 0.1, 0.1)
+        self.assertTrue(core.suspects.is_suspended(content(), 0.2))
+        head = AnswerHead(421, Headers({b"X-Not-Executed": [b"1"]}), 0)
+        outcome = PlatformDialect().outcome(head)
+        for target in core.targets.by_number.values():
+            late = Attempt(begun(core, 3.0), target, False, 0.1, 0.0, False, 3.0, sent=True)
+            core.attempt_ended(late, outcome, 3.1)
+        self.assertTrue(core.suspects.is_suspended(content(), 3.2))
+
     def test_servers_that_lose_answers_are_not_taken_for_crashed(self) -> None:
         """Guards against refusing sound requests while servers lose most of their answers."""
         for elapsed, is_suspended in ((0.9, False), (0.01, True)):
