Take a 421 for the response of another server than the expected one

Cause: a 421 carries X-Not-Executed like the rejections of a server, and the header was looked at first. So the 421 of the next server counted as a sign of life of the crashed one and refuted its crash, at one entry and by its news at all. The table of servers, which stops using a server at whose address another one answers, never learned of it either, and the rejections raised the server's error rate.

The simulated fleet had the outcome MISDIRECTED put in by hand, and the stand-in of a backend server sends its 421 without the header, so no test met it.

--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -113,10 +113,11 @@
 
     def outcome(self, head: AnswerHead) -> Outcome:
         """Classify a backend server's response by its head."""
-        if head.headers.hasHeader(names.NOT_EXECUTED):
-            return Outcome.REJECTED
         if head.status == MISDIRECTED:
+            # It has the header of rejections too, but another server than the expected sent it.
             return Outcome.MISDIRECTED
+        if head.headers.hasHeader(names.NOT_EXECUTED):
+            return Outcome.REJECTED
         if head.status in SUCCESS:
             whole = head.headers.hasHeader(names.RESPONSE_SIGNATURE)
             encoded = head.headers.hasHeader(b"content-encoding")
