Send X-Not-Executed with the 421 of the stand-in server, as the platform's servers do

The header was missing, so no run with processes met an entry that took such a response for a rejection.

--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -109,7 +109,7 @@
         self._write_ledger("arrival", request)
         expected = request.getHeader(b"x-expected-instance")
         if expected is not None and expected != self.target_id.encode():
-            _answer(request, 421, {b"X-Instance-Id": self.target_id.encode()})
+            _answer(request, 421, {b"X-Not-Executed": b"1"})
         elif self.backoff_s > 0.0:
             self._write_ledger("rest", request)
             self._reject(request, {b"Retry-After": b"%.2f" % self.backoff_s})
