Drop confirmed losses of a request last

Callers saw servers end under a request that was suspended already: an entry keeps eight losses of a request and dropped the oldest, whatever its state. A confirmed one that gave way to an open or refuted one resumed the request.

Now open and refuted ones go first, but never the newest, which may still be confirmed.

--- a/briarspur/gateway/suspects.py
+++ b/briarspur/gateway/suspects.py
@@ -322,14 +322,7 @@
         self._contents_by_target[report.target].add(report.content)
         self._changed[report.content, report.target] = loss
         if len(suspect.by_target) > MAX_LOSSES_PER_REQUEST:
-            oldest = min(suspect.by_target, key=lambda target: suspect.by_target[target].at)
-            logs.event(
-                "loss-dropped",
-                content=f"{report.content:016x}",
-                server_number=f"{oldest:08x}",
-                state=suspect.by_target[oldest].state.name.lower(),
-            )
-            self._drop_loss(report.content, oldest)
+            self._drop_excess_loss(report.content, suspect, newest=report.target)
         self._update_suspension(report.content, suspect)
 
     def _advance_at(
@@ -368,6 +361,20 @@
         for target in list(self._by_content[oldest].by_target):
             self._drop_loss(oldest, target)
 
+    def _drop_excess_loss(self, content: int, suspect: _Suspect, newest: int) -> None:
+        """Drop one loss of a request, a confirmed one only if there is no other."""
+        dropped, loss = min(
+            ((target, loss) for target, loss in suspect.by_target.items() if target != newest),
+            key=lambda item: (item[1].state is LossState.CONFIRMED, item[1].at),
+        )
+        logs.event(
+            "loss-dropped",
+            content=f"{content:016x}",
+            server_number=f"{dropped:08x}",
+            state=loss.state.name.lower(),
+        )
+        self._drop_loss(content, dropped)
+
     def _drop_loss(self, content: int, target: int) -> None:
         suspect = self._by_content[content]
         del suspect.by_target[target]
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -178,6 +178,15 @@
             (made._by_content, made._suspended, made._changed, dict(made._contents_by_target)),
         )
 
+    def test_more_losses_than_are_kept_do_not_resume_the_request(self) -> None:
+        """Guards against a request that is sent again because confirmed losses were dropped."""
+        made = suspended()
+        for target in range(10, 30):
+            made.record_lost(content(), target, 1.0)
+            self.assertTrue(made.is_suspended(content(), 1.0))
+        made.record_unreachable(29, 1.1, 1.2)
+        self.assertIn(29, {loss.target for loss in made.suspended(1.2)}, "the newest is kept")
+
     def test_reports_are_bounded_and_all_suspended_requests_take_turns(self) -> None:
         """Guards against entries that start later and never learn of a suspension."""
         made, starter = Suspects("e-1"), Suspects("e-2")
