--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -18,8 +18,10 @@
 from briarspur.gateway.gossip import Gossip
 from briarspur.gateway.loadview import News
 from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.registration import Registration
 from briarspur.gateway.servernotice import NO_LIMIT, ServerNotice
 from briarspur.gateway.steering import Steering
+from briarspur.gateway.target import Target
 from briarspur.gateway.work import Arrival, Attempt, Bounds, Refused, Work
 from tests.gateway.samples import configuration, registration, route
 
@@ -224,12 +226,19 @@
         served = replace(route(timeout=TIMEOUT_S), goal=1.0)
         entry.steering.apply_configuration(configuration(1, [served]))
         for number, server in enumerate(self.servers):
-            made = registration(server.name, zone=f"z-{number % self._zones}", slots=3)
-            entry.steering.targets.registered(made, self._now)
+            entry.steering.targets.registered(self._registration(server, number), self._now)
         begin = self._now + self._rng.uniform(0.0, TICK_S)
         self._at(begin, lambda now: self._tick(entry, now))
         self._at(begin, lambda now: self._gossip(entry, now))
 
+    def _registration(self, server: NoticeServer, number: int) -> Registration:
+        """Return the registration of a server, which is the one with this number."""
+        return registration(server.name, zone=f"z-{number % self._zones}", slots=3)
+
+    def _server(self, target: Target) -> NoticeServer:
+        """Return the server that a target is an incarnation of."""
+        return self._by_name[target.registration.target_id]
+
     def advertise_limits(self, at: float, limits: list[float]) -> None:
         """Make the first servers advertise limits from some time on."""
         for server, per_s in zip(self.servers, limits, strict=False):
@@ -325,7 +334,7 @@
             return
         step.work.sent += 1
         entry = self.entries_by_name[name]
-        server = self._by_name[step.target.registration.target_id]
+        server = self._server(step.target)
         transit_s = TRANSIT_S[0] if server.region == entry.record.region else TRANSIT_S[1]
         self._at(
             now + transit_s, lambda at: self._arrive_at_server(name, server, step, transit_s, at)
@@ -343,14 +352,14 @@
 
     def _answer(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
         steering = self.entries_by_name[name].steering
-        if steering.targets.get(server.name) is not attempt.target:
+        if not _is_known(steering, attempt.target):
             return
         self._record_notice(name, server, attempt, now)
         steering.attempt_ended(attempt, Outcome.ANSWERED, now)
 
     def _reject(self, name: str, server: NoticeServer, attempt: Attempt, now: float) -> None:
         steering = self.entries_by_name[name].steering
-        if steering.targets.get(server.name) is not attempt.target:
+        if not _is_known(steering, attempt.target):
             return
         server.backoff_received_at.setdefault(name, []).append(now)
         self._record_notice(name, server, attempt, now)
@@ -374,3 +383,7 @@
             self._now = moment
             event(moment)
         self._now = now
+
+
+def _is_known(steering: Steering, target: Target) -> bool:
+    return steering.targets.get(target.registration.target_id) is target
