--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -15,7 +15,6 @@
 from briarspur.gateway.availability import StoreAvailability
 from briarspur.gateway.codec import Codec
 from briarspur.gateway.configuration import Configuration
-from briarspur.gateway.content import RequestContent
 from briarspur.gateway.crashchecks import CrashChecks
 from briarspur.gateway.dialect import Dialect
 from briarspur.gateway.entryrecord import EntryRecord
@@ -332,9 +331,7 @@
 
     def _arrival(self, request: IncomingRequest) -> Arrival:
         arrival = self._dialect.arrival(request.uri, request.headers, len(request.body))
-        sender = arrival.key_digest or request.source_address.encode()
-        content = RequestContent(request.method, arrival.host, request.uri, request.body, sender)
-        return replace(arrival, content=content)
+        return replace(arrival, content=request.content(arrival))
 
     def refused_unread(self, refusal: Refusal) -> None:
         """Count and log a request that was refused before it was received completely."""
--- a/briarspur/gateway/services.py
+++ b/briarspur/gateway/services.py
@@ -7,12 +7,13 @@
 from twisted.web.http_headers import Headers
 
 from briarspur.codes import Code
+from briarspur.gateway.content import RequestContent
 from briarspur.gateway.dialect import Dialect
 from briarspur.gateway.forwarding import ForwardAttempt
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.pool import ConnectionPool
 from briarspur.gateway.steering import Steering
-from briarspur.gateway.work import Attempt, Work
+from briarspur.gateway.work import Arrival, Attempt, Work
 
 __all__ = ["Clock", "ExchangeLog", "IncomingRequest", "Services"]
 
@@ -33,6 +34,11 @@
     body: bytes
     source_address: str = ""
 
+    def content(self, arrival: Arrival) -> RequestContent:
+        """Return what identifies this request if its caller sends it again."""
+        caller = arrival.key_digest or self.source_address.encode()
+        return RequestContent(self.method, arrival.host, self.uri, self.body, caller)
+
 
 class ExchangeLog(Protocol):
     """Logs the attempts and the final response of each request."""
