Don't tell callers without keys apart by their addresses

Cause: an address names a host, not a caller, and the protocol names none where there are no API keys. Now all callers without a key count as one: three losses suspend the content, and an answer to any of them resumes it.

--- a/briarspur/gateway/content.py
+++ b/briarspur/gateway/content.py
@@ -19,7 +19,7 @@
     uri : bytes
         Path and query.
     caller : bytes
-        The digest of the caller's API key, or its network address if it has no key.
+        The digest of the caller's API key; empty if it has no key.
     """
 
     def __init__(self, method: bytes, host: str, uri: bytes, body: bytes, caller: bytes) -> None:
--- a/briarspur/gateway/services.py
+++ b/briarspur/gateway/services.py
@@ -36,7 +36,8 @@
 
     def content(self, arrival: Arrival) -> RequestContent:
         """Return what identifies this request if its caller sends it again."""
-        caller = arrival.key_digest or self.source_address.encode()
+        # Without keys there is one caller: copies of one request come from several addresses.
+        caller = arrival.key_digest or b""
         return RequestContent(self.method, arrival.host, self.uri, self.body, caller)
 
 
