Don't refute a crash by an answer of a server that may have started again under its id

Cause: an answer was evidence of the incarnation that the entry knows, though it shows only that some process has the id.

--- a/briarspur/gateway/attemptevidence.py
+++ b/briarspur/gateway/attemptevidence.py
@@ -40,7 +40,9 @@
         if is_unreachable:
             self._suspects.record_unreachable(number, attempt.started, now)
         elif outcome in RESPONDED:
-            self._suspects.record_alive(number, attempt.started, now)
+            # A request names the id that it is for, so any process that has the id responds.
+            if attempt.target.registration.id_identifies_run:
+                self._suspects.record_alive(number, attempt.started, now)
             if content is not None and outcome is not Outcome.REJECTED:
                 self._suspects.record_answered(content, now)
 
--- a/briarspur/gateway/registration.py
+++ b/briarspur/gateway/registration.py
@@ -13,7 +13,7 @@
     ----------
     born : int
         Unix time of its start in milliseconds; identifies an incarnation together with
-        ``target_id``.
+        ``target_id``. It is 0 if each incarnation has an id of its own.
     cold_s : float
         Seconds for which it stays cold, from the time it wrote the record.
     """
@@ -32,3 +32,8 @@
     def incarnation(self) -> tuple[str, int]:
         """Identifier of one run of the server process."""
         return self.target_id, self.born
+
+    @property
+    def id_identifies_run(self) -> bool:
+        """Whether each run of the process has an id of its own."""
+        return self.born == 0
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -24,7 +24,7 @@
 )
 from briarspur.gateway.work import Attempt, Refused, Work
 from briarspur.platform.dialect import PlatformDialect
-from tests.gateway.crashfleet import CrashFleet
+from tests.gateway.crashfleet import CrashFleet, Return
 from tests.gateway.samples import arrival, begun, steering
 
 ENTRIES = ["e-1", "e-2", "e-3"]
@@ -370,6 +370,12 @@
         self.crashed(fleet, seconds=12.0)
         self.assertLessEqual(len(fleet.crashes), 10)
 
+    def test_it_stops_if_servers_return_under_their_ids(self) -> None:
+        """Guards against answers of a new process that refute the crash of the former one."""
+        for seed in range(1, 6):
+            with self.subTest(seed):
+                self.crashed(CrashFleet(11, 18, Return.SAME_ID, seed=seed, loss=0.05))
+
     def test_it_stops_if_it_comes_rarely(self) -> None:
         self.crashed(CrashFleet(11, 18, seed=3), interval=2.0, seconds=40.0)
 
