Take a 421 at a server's address for evidence that the server has ended

A crash showed only while connections to the address failed; once the next server listens there, entries had to wait for the registration to lapse, and other entries can't use that at all (they may not know the server). The 421 of another server shows it at once. The test failed before.

--- a/briarspur/gateway/attemptevidence.py
+++ b/briarspur/gateway/attemptevidence.py
@@ -39,6 +39,8 @@
             self._suspects.record_lost(content, number, now, is_shared)
         if is_unreachable:
             self._suspects.record_unreachable(number, attempt.started, now)
+        elif outcome is Outcome.MISDIRECTED:
+            self._suspects.record_replaced(number, attempt.started, now)
         elif outcome in RESPONDED:
             # A request names the id that it is for, so any process that has the id responds.
             if attempt.target.registration.id_identifies_run:
--- a/briarspur/gateway/loss.py
+++ b/briarspur/gateway/loss.py
@@ -18,6 +18,7 @@
     """Why a loss was confirmed or refuted."""
 
     UNREACHABLE = "the server was unreachable"
+    REPLACED = "another server answered at its address"
     LAPSED = "the registration lapsed"
     SERVER_ANSWERED = "the server answered later"
     STILL_REGISTERED = "the server stayed registered"
--- a/briarspur/gateway/suspects.py
+++ b/briarspur/gateway/suspects.py
@@ -1,9 +1,10 @@
 """Detects requests that crash the backend servers that run them, over all entries together.
 
 An attempt without an answer is a loss of its request at one incarnation of a server. The loss is
-confirmed as a possible crash if that incarnation can't be reached afterwards, or its registration
-lapses. It is refuted if the incarnation answers an attempt that began later or stays registered, or
-if the caller's request gets an answer. A request with three confirmed losses is suspended.
+confirmed as a possible crash if that incarnation can't be reached afterwards, if another server
+answers at its address, or if its registration lapses. It is refuted if the incarnation answers an
+attempt that began later, if it stays registered, or if the caller's request gets an answer. A
+request with three confirmed losses is suspended.
 
 Entries report losses to each other. There is one for each request and incarnation, and its state
 only advances, from open to confirmed to refuted. So reports may be lost, repeated, late or
@@ -172,6 +173,16 @@
         """Confirm the losses at a server that an attempt begun at ``since`` could not reach."""
         self._advance_at(target, since, LossState.CONFIRMED, Evidence.UNREACHABLE, now)
 
+    def record_replaced(self, target: int, since: float, now: float) -> None:
+        """Confirm the losses at a server at whose address another one answered.
+
+        Parameters
+        ----------
+        since : float
+            When the attempt began that the other server answered.
+        """
+        self._advance_at(target, since, LossState.CONFIRMED, Evidence.REPLACED, now)
+
     def record_registered(self, targets: Container[int], now: float) -> None:
         """Confirm the losses at servers whose registrations lapsed, and refute those at others.
 
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -298,21 +298,40 @@
         core.attempt_ended(attempt, Outcome.TIMED_OUT, 2.0)
         self.assertFalse(core.suspects.is_suspected(content()))
 
-    def test_a_421_of_another_server_at_a_lost_address_does_not_resume_the_request(self) -> None:
-        """Guards against a request that is sent again as soon as the crashed servers are back."""
-        core = steering(6)
+    def lose_at_servers(self, core: Steering) -> None:
+        """Lose a request at three servers."""
         for _ in range(3):
             attempt = core.next_attempt(self.begin(core), 0.0)
             assert isinstance(attempt, Attempt)
             attempt.sent = True
             core.attempt_ended(attempt, Outcome.LOST, 0.0)
-            core.suspects.record_unreachable(attempt.target.number, 0.1, 0.1)
+
+    def end_attempts(self, core: Steering, outcome: Outcome, now: float) -> None:
+        """Let an attempt at each server begin and end with an outcome."""
+        for target in core.targets.by_number.values():
+            late = Attempt(begun(core, now), target, False, 0.1, 0.0, False, now, sent=True)
+            core.attempt_ended(late, outcome, now + 0.1)
+
+    def test_a_421_of_another_server_at_a_lost_address_does_not_resume_the_request(self) -> None:
+        """Guards against a request that is sent again as soon as the crashed servers are back."""
+        core = steering(6)
+        self.lose_at_servers(core)
+        for target in core.targets.by_number:
+            core.suspects.record_unreachable(target, 0.1, 0.1)
         self.assertTrue(core.suspects.is_suspended(content(), 0.2))
         head = AnswerHead(421, Headers({b"X-Not-Executed": [b"1"]}), 0)
-        outcome = PlatformDialect().outcome(head)
-        for target in core.targets.by_number.values():
-            late = Attempt(begun(core, 3.0), target, False, 0.1, 0.0, False, 3.0, sent=True)
-            core.attempt_ended(late, outcome, 3.1)
+        self.end_attempts(core, PlatformDialect().outcome(head), 3.0)
+        self.assertTrue(core.suspects.is_suspended(content(), 3.2))
+
+    def test_a_421_of_another_server_at_a_lost_address_shows_that_the_former_one_ended(
+        self,
+    ) -> None:
+        """Guards against crashes that no connection shows since the next server listens."""
+        core = steering(6)
+        self.lose_at_servers(core)
+        self.end_attempts(core, Outcome.MISDIRECTED, 0.0)
+        self.assertFalse(core.suspects.is_suspended(content(), 0.2), "sent before the loss")
+        self.end_attempts(core, Outcome.MISDIRECTED, 3.0)
         self.assertTrue(core.suspects.is_suspended(content(), 3.2))
 
     def test_servers_that_lose_answers_are_not_taken_for_crashed(self) -> None:
