Report a refutation again to an entry that has missed it

A sound request that was suspended by mistake and resumed could be suspended again for ten minutes at all entries: a refutation is reported for 3 s and was kept for 10 s, while an entry that has missed it (stopped, cut off, lost news) reports the request as suspended for ten minutes, and the others took that for a new loss.

A refuted loss is now kept for the lifetime of losses if its request was suspended, and reported once more to an entry that contradicts it.

--- a/briarspur/gateway/suspects.py
+++ b/briarspur/gateway/suspects.py
@@ -48,7 +48,9 @@
 """Time between two checks whether a server can be reached at which a request was lost that was lost
 at another one, too."""
 REFUTED_KEPT_S = 10.0
-"""Time for which a refuted loss is kept, so that late reports of it have no effect."""
+"""Time for which a refuted loss is kept, so that late reports of it have no effect. If its request
+was suspended it is kept for its lifetime: an entry that has missed the refutation reports the
+request as suspended for as long."""
 MAX_REPORTED_NEW = 5
 MAX_REPORTED = 8
 """Losses in one message, 175 bytes: new ones, and in rotation those of suspended requests, which
@@ -67,6 +69,8 @@
         Whether this entry made the attempt.
     is_shared : bool
         Whether other entries know of it.
+    is_disputed : bool
+        Whether another entry reported an earlier state long after this one was reported.
     """
 
     caller: int
@@ -75,6 +79,7 @@
     changed_at: float
     state: LossState
     is_shared: bool
+    is_disputed: bool = False
     checked_at: float = float("-inf")
 
     def advance(self, state: LossState, now: float) -> bool:
@@ -91,8 +96,16 @@
     """The losses of one request, by the number of the server's incarnation."""
 
     by_target: dict[int, _KnownLoss] = field(default_factory=dict)
+    was_suspended: bool = False
     trial_at: float = float("-inf")
 
+    def is_expired(self, loss: _KnownLoss, now: float) -> bool:
+        """Return whether a loss need not be kept any longer."""
+        if now - loss.at >= LIFETIME_S:
+            return True
+        is_refuted = loss.state is LossState.REFUTED
+        return is_refuted and not self.was_suspended and now - loss.changed_at > REFUTED_KEPT_S
+
     def count(self) -> int:
         """Return the number of losses that are not refuted."""
         return sum(loss.state is not LossState.REFUTED for loss in self.by_target.values())
@@ -283,7 +296,7 @@
         chosen = [
             _report(content, target, loss, now)
             for (content, target), loss in reversed(self._changed.items())
-            if loss.is_shared and (relays or loss.is_own)
+            if loss.is_shared and (relays or loss.is_own or loss.is_disputed)
         ][:MAX_REPORTED_NEW]
         standing = list(self.suspended(now))
         count = min(MAX_REPORTED - len(chosen), len(standing))
@@ -309,9 +322,7 @@
                 del self._changed[key]
         for content, suspect in list(self._by_content.items()):
             for target, loss in list(suspect.by_target.items()):
-                if now - loss.at >= LIFETIME_S or (
-                    loss.state is LossState.REFUTED and now - loss.changed_at > REFUTED_KEPT_S
-                ):
+                if suspect.is_expired(loss, now):
                     self._drop_loss(content, target)
 
     # Internals
@@ -325,7 +336,7 @@
                 self._drop_oldest()
             suspect = self._by_content[report.content] = _Suspect()
         if report.target in suspect.by_target:
-            self._advance(report.content, report.target, report.state, Evidence.REPORTED, now)
+            self._compare(report, suspect.by_target[report.target], now)
             return
         at = now - report.age
         loss = _KnownLoss(report.caller, at, is_own, now, report.state, is_shared)
@@ -336,6 +347,15 @@
             self._drop_excess_loss(report.content, suspect, newest=report.target)
         self._update_suspension(report.content, suspect)
 
+    def _compare(self, report: Loss, loss: _KnownLoss, now: float) -> None:
+        """Advance a known loss to a reported state, or report its own state again."""
+        if report.state >= loss.state:
+            self._advance(report.content, report.target, report.state, Evidence.REPORTED, now)
+        elif report.state is LossState.CONFIRMED and now - loss.changed_at > REPORT_FOR_S:
+            loss.is_disputed = True
+            loss.changed_at = now
+            self._changed[report.content, report.target] = loss
+
     def _advance_at(
         self, target: int, since: float, state: LossState, evidence: Evidence, now: float
     ) -> None:
@@ -404,6 +424,7 @@
             return
         if is_suspended:
             self._suspended[content] = suspect
+            suspect.was_suspended = True
         else:
             del self._suspended[content]
         losses = suspect.confirmed().values()
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -178,6 +178,21 @@
             (made._by_content, made._suspended, made._changed, dict(made._contents_by_target)),
         )
 
+    def test_an_entry_that_missed_a_refutation_learns_it_from_the_others(self) -> None:
+        """Guards against a sound request that entries suspend again on an old report."""
+        first, relay, late = (suspended(entry_id) for entry_id in ENTRIES)
+        first.record_answered(content(), 1.0)
+        relay.record_reported(first.to_report(False, 1.0), 1.0)
+        for now in range(2, 60):
+            first.forget(now)
+            relay.forget(now)
+        for now in (60.0, 60.5):
+            relay.record_reported(late.to_report(False, now), now)
+            late.record_reported(relay.to_report(False, now), now)
+            first.record_reported(late.to_report(False, now), now)
+        for made in (first, relay, late):
+            self.assertFalse(made.is_suspended(content(), 61.0))
+
     def test_more_losses_than_are_kept_do_not_resume_the_request(self) -> None:
         """Guards against a request that is sent again because confirmed losses were dropped."""
         made = suspended()
