Don't clear a request of its crashes by a server's error

A server that fails part of its requests answers 500 before it has run them to where they crash it. Such an answer cleared the request at all entries, so that beside failing servers it needed three more crashes each time. Found by reading. Only complete answers that are no server errors clear a request now. The test failed before.

--- a/briarspur/gateway/attemptevidence.py
+++ b/briarspur/gateway/attemptevidence.py
@@ -45,7 +45,7 @@
             # A request names the id that it is for, so any process that has the id responds.
             if attempt.target.registration.id_identifies_run:
                 self._suspects.record_alive(number, attempt.started, now)
-            if content is not None and outcome is not Outcome.REJECTED:
+            if content is not None and outcome is Outcome.ANSWERED:
                 self._suspects.record_answered(content, now)
 
     def _record_reachability(
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -349,6 +349,22 @@
         self.end_attempts(core, Outcome.MISDIRECTED, 3.0)
         self.assertTrue(core.suspects.is_suspended(content(), 3.2))
 
+    def test_a_servers_error_does_not_show_that_a_request_is_sound(self) -> None:
+        """Guards against a crashing request that failing servers clear again and again."""
+        for outcome, is_suspended in ((Outcome.SERVER_ERROR, True), (Outcome.ANSWERED, False)):
+            core = steering(6)
+            self.lose_at_servers(core)
+            lost = {each.target for each in core.suspects.to_report(False, 0.0)}
+            elsewhere = next(n for n in core.targets.by_number if n not in lost)
+            attempt = core.next_attempt(self.begin(core), 1.0)
+            assert isinstance(attempt, Attempt)
+            attempt.target = core.targets.by_number[elsewhere]
+            core.attempt_ended(attempt, outcome, 1.1)
+            for number in lost:
+                core.suspects.record_unreachable(number, 1.2, 1.3)
+            with self.subTest(outcome):
+                self.assertEqual(is_suspended, core.suspects.is_suspended(content(), 1.4))
+
     def test_servers_that_lose_answers_are_not_taken_for_crashed(self) -> None:
         """Guards against refusing sound requests while servers lose most of their answers."""
         for elapsed, is_suspended in ((0.9, False), (0.01, True)):
