--- a/tests/gateway/crashfleet.py
+++ b/tests/gateway/crashfleet.py
@@ -9,6 +9,7 @@
 
 from briarspur.codes import Code
 from briarspur.gateway.content import RequestContent
+from briarspur.gateway.forwarding import ForwardAttempt
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.registration import Registration
 from briarspur.gateway.target import Target
@@ -169,7 +170,7 @@
         suspects.forget(now)
         super()._tick(entry, now)
 
-    def _send(self, name: str, step: Attempt | Refused | None, now: float) -> None:
+    def _send(self, name: str, step: Attempt | ForwardAttempt | Refused | None, now: float) -> None:
         if isinstance(step, Attempt):
             step.sent = True
         super()._send(name, step, now)
--- a/tests/gateway/noticefleet.py
+++ b/tests/gateway/noticefleet.py
@@ -15,6 +15,7 @@
 
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.fleet import Fleet
+from briarspur.gateway.forwarding import ForwardAttempt
 from briarspur.gateway.gossip import Gossip
 from briarspur.gateway.loadview import News
 from briarspur.gateway.outcome import Outcome
@@ -328,7 +329,7 @@
         assert isinstance(work, Work)
         self._send(name, steering.next_attempt(work, now), now)
 
-    def _send(self, name: str, step: Attempt | Refused | None, now: float) -> None:
+    def _send(self, name: str, step: Attempt | ForwardAttempt | Refused | None, now: float) -> None:
         if not isinstance(step, Attempt):
             self.refused += 1
             return
