End a stopped entry once nothing is open, not once nothing is handled

Callers lost uploads: an entry that was stopped passed on bodies that it had just read, and ended 0.1 s later; those that were still arriving saw their connections close. Cause: the exit waited for exchanges, and a request is one only once its body is complete.

Now the exit waits for all connections, of callers and of other entries, within the grace time. Requests get the time that is left as their deadline; bodies that aren't complete 0.7 s before the end are refused, which is true as nothing was passed on; what still runs at the end gets a response. Ports of callers and of other entries close together.

--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -161,6 +161,11 @@
         self.factory.on_refused(refusal)
         self.factory.clock.callLater(LINGER_S, self._abort_if_open)
 
+    def refuse_incomplete(self, refusal: Refusal) -> None:
+        """Refuse a request that is still being received, if any."""
+        if self.receiving_since != math.inf:
+            self.refuse(refusal)
+
     def check_timeouts(self, now: float) -> None:
         """Refuse a caller that sends too slowly, and close a connection that is idle.
 
--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -47,6 +47,7 @@
 from briarspur.gateway.reservationkeeper import ReservationKeeper
 from briarspur.gateway.services import IncomingRequest, Services
 from briarspur.gateway.settings import BoundSettings, GatewaySettings
+from briarspur.gateway.shutdown import Shutdown
 from briarspur.gateway.steering import Steering
 from briarspur.gateway.suspects import REGISTRATION_LAPSE_S
 from briarspur.gateway.suspensionkeeper import SuspensionKeeper
@@ -74,11 +75,6 @@
 MAX_LOOKUP_TTL_S = 2.0
 """Time for which callers may cache a look-up. Some cache it three times as long, so a leaving entry
 continues to serve them."""
-LEAVE_LISTEN_S = 3.0
-"""Time for which a leaving entry still accepts connections of callers with old look-ups."""
-LEAVE_MARGIN_S = 0.95
-"""The process exits this long before the platform kills it: on 0.43 of a core under load, the end
-of the interpreter alone takes over half a second."""
 CUT_DETECTION_S = 5.0
 """Time for which requests may have failed before the entry detects that it reaches no server."""
 METRICS_PATH = b"/metrics"
@@ -231,7 +227,8 @@
         )
         self.open_exchanges: set[Exchange] = set()
         self._tasks: list[asyncio.Task[None]] = []
-        self._ports: list[Any] = []
+        self._request_ports: list[Any] = []
+        self._shutdown: Shutdown | None = None
         self.entry_ids: list[str] = []
         self.leaving = False
 
@@ -240,7 +237,9 @@
     async def start(self) -> None:
         """Open the listening ports and start following the store."""
         pages = self._pages()
-        self._listen(self.settings.caller_address, self.frontend.factory)
+        self._request_ports.append(
+            self._listen(self.settings.caller_address, self.frontend.factory)
+        )
         for address in {self.settings.ready_address, self.settings.lookup_address}:
             if address and address != self.settings.caller_address:
                 self._listen(address, PageFactory(pages))
@@ -248,14 +247,10 @@
             address = f"{self.settings.host}:{self.settings.metrics_port}"
             self._listen(address, PageFactory(pages))
         if self.own_record.news_port:
-            self._ports.append(
-                self._reactor.listenUDP(
-                    self.own_record.news_port, self.news_port, self.settings.host
-                )
-            )
-            self._listen(
-                f"{self.settings.host}:{self.own_record.news_port}", self.forward_frontend.factory
-            )
+            news_port = self.own_record.news_port
+            self._reactor.listenUDP(news_port, self.news_port, self.settings.host)
+            address = f"{self.settings.host}:{news_port}"
+            self._request_ports.append(self._listen(address, self.forward_frontend.factory))
         for sync in self.syncs.values():
             self._tasks.append(asyncio.ensure_future(sync.run()))
         self._tasks.append(asyncio.ensure_future(self._warmth.run()))
@@ -271,29 +266,25 @@
 
     async def stop(self) -> None:
         """Withdraw from look-ups, serve the callers that still use this entry, and shut down."""
-        leaving_since = self._reactor.seconds()
-        exit_by = leaving_since + self.settings.bounds.grace_s - LEAVE_MARGIN_S
         self.leaving = self.fleet.leaving = True
-        self.gossip.advertise(leaving_since)
-        self.frontend.close_connections()
-        logs.event("stop-leaving", open_requests=len(self.open_exchanges))
-        while self._reactor.seconds() < leaving_since + LEAVE_LISTEN_S:
-            await asyncio.sleep(TICK_S)
-        for port in self._ports[:1]:
-            port.stopListening()
-        self.frontend.close_connections()
-        self.forward_frontend.close_connections()
-        logs.event("stop-finishing", open_requests=len(self.open_exchanges))
-        while self.open_exchanges and self._reactor.seconds() < exit_by:
-            await asyncio.sleep(0.02)
-        # Let the sockets send the last responses.
-        await asyncio.sleep(0.1)
+        self.gossip.advertise(self._reactor.seconds())
+        self._shutdown = Shutdown(
+            (self.frontend, self.forward_frontend),
+            self.open_exchanges,
+            self._reactor.seconds,
+            self.settings.bounds.grace_s,
+        )
+        await self._shutdown.run(self._stop_listening)
         for task in self._tasks:
             task.cancel()
         self.following.close()
         self._pull_server.close()
         self._channels.close()
 
+    def _stop_listening(self) -> None:
+        for port in self._request_ports:
+            port.stopListening()
+
     def reload(self) -> None:
         """Log that the settings file may have changed; connections and requests continue."""
         logs.event("reloaded", entry=self.settings.entry_id)
@@ -331,7 +322,10 @@
 
     def _arrival(self, request: IncomingRequest) -> Arrival:
         arrival = self._dialect.arrival(request.uri, request.headers, len(request.body))
-        return replace(arrival, content=request.content(arrival))
+        timeout = arrival.timeout
+        if self._shutdown is not None:
+            timeout = min(timeout, self._shutdown.remaining())
+        return replace(arrival, timeout=timeout, content=request.content(arrival))
 
     def refused_unread(self, refusal: Refusal) -> None:
         """Count and log a request that was refused before it was received completely."""
@@ -508,9 +502,9 @@
 
     # Internals
 
-    def _listen(self, address: str, factory: Any) -> None:
+    def _listen(self, address: str, factory: Any) -> Any:
         host, _, port = address.rpartition(":")
-        self._ports.append(self._reactor.listenTCP(int(port), factory, LISTEN_BACKLOG, host))
+        return self._reactor.listenTCP(int(port), factory, LISTEN_BACKLOG, host)
 
     def _make_own_record(self) -> EntryRecord:
         settings = self.settings
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -82,7 +82,7 @@
         if isinstance(first, Refused):
             self._refuse(first)
             return
-        self._schedule(self.work.deadline - now, self._deadline_passed)
+        self._schedule(self.work.deadline - now, self.expire)
         self._start_attempt(first, "first")
 
     def caller_disconnected(self) -> None:
@@ -98,6 +98,22 @@
                 outgoing.abandon(Outcome.ABANDONED)
         self._finish(Code.CALLER_GONE, 0)
 
+    def expire(self) -> None:
+        """Give up at the deadline, or when the process ends, and tell the caller."""
+        if self.done:
+            return
+        self._decided = True
+        streaming, self._streaming = self._streaming, None
+        for outgoing in list(self._active):
+            outgoing.abandon(Outcome.TIMED_OUT)
+        if streaming is not None:
+            self._abort_response(Code.ANSWER_CUT_SHORT)
+            return
+        once_only = not self.work.route.repeatable
+        self._refuse(
+            Refused(Code.DEADLINE_PASSED_AFTER_DISPATCH if once_only else Code.DEADLINE_PASSED)
+        )
+
     def servers_unreachable(self) -> None:
         """Pass the request on instead of waiting for servers that this entry can't reach."""
         if self.done or self._decided:
@@ -202,21 +218,6 @@
         if second is not None:
             self._start_attempt(second, "hedge")
 
-    def _deadline_passed(self) -> None:
-        if self.done:
-            return
-        self._decided = True
-        streaming, self._streaming = self._streaming, None
-        for outgoing in list(self._active):
-            outgoing.abandon(Outcome.TIMED_OUT)
-        if streaming is not None:
-            self._abort_response(Code.ANSWER_CUT_SHORT)
-            return
-        once_only = not self.work.route.repeatable
-        self._refuse(
-            Refused(Code.DEADLINE_PASSED_AFTER_DISPATCH if once_only else Code.DEADLINE_PASSED)
-        )
-
     def _deliver(self, outgoing: OutgoingRequest) -> None:
         assert outgoing.head is not None
         self._decided = True
--- a/briarspur/gateway/frontend.py
+++ b/briarspur/gateway/frontend.py
@@ -81,6 +81,16 @@
         """Close idle connections now and the others after their pending response."""
         self.factory.close_idle()
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether any connection of a caller is open."""
+        return bool(self.factory.channels)
+
+    def refuse_incomplete(self, refusal: Refusal) -> None:
+        """Refuse the requests that are still being received."""
+        for channel in list(self.factory.channels):
+            channel.refuse_incomplete(refusal)
+
     def _limits(self, limits: Limits) -> LimitSettings:
         return LimitSettings(
             header_bytes=max(MIN_HEADER_BYTES, limits.header_bytes) + self._added_header_bytes,
--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -15,6 +15,7 @@
 BODY = b"b" * 20
 ENDS_AFTER_S = (1.0, 2.9, 3.02, 3.06, 3.5, 4.2)
 """When the bodies of uploads end, after the signal; no exchange is open for most of the time."""
+NEVER = 60.0
 
 
 @dataclass
@@ -87,5 +88,11 @@
         uploads = self.stop(ENDS_AFTER_S).uploads
         self.assertEqual([200] * len(uploads), [upload.status for upload in uploads])
 
+    def test_an_upload_that_does_not_end_in_time_is_refused_and_not_run(self) -> None:
+        """Guards against connections that close without a response as the process ends."""
+        upload = self.stop((NEVER,)).uploads[0]
+        self.assertEqual(503, upload.status)
+        self.assertNotIn(upload.request_id, self.runs)
+
     def test_a_process_without_work_ends_early(self) -> None:
         self.assertLess(self.stop(()).stopped_after, 4.5)
