Call a copy of the store current by what was heard, not by an open watch

Callers got the old configuration until 4.2 s after the acknowledgement of a new one (2.5 s allowed): open channels to the store had gone silent, and the watch of the configuration, which waits 4 s, was given up only 5 s after its start. Until then its reader confirmed all copies at each answer about registrations, since a watch was open, and the others relied on it.

Now a kind is current only if it was heard of lately; the configuration's watch waits 1 s, that of evacuations 2 s, and a watch that has waited is given up 0.7 s after its wait.

--- a/briarspur/gateway/readtimes.py
+++ b/briarspur/gateway/readtimes.py
@@ -24,9 +24,10 @@
 """Registrations may be renewed all the time, so they are read in batches, since each call is
 charged for. Their watches wait for a short time only, because a watch confirms only when it ends
 that no change is missing."""
-RARELY_CHANGING_PACE = Pace(wait=4.0, pause=0.0)
-"""Other kinds change rarely, and their changes are reported immediately. A watch that waits for 4 s
-detects a connection that stopped responding within 5 s."""
+CONFIGURATION_PACE = Pace(wait=1.0, pause=0.0)
+EVACUATIONS_PACE = Pace(wait=2.0, pause=0.0)
+"""Other kinds change rarely, and their changes are reported immediately. The wait bounds the time
+until a connection that went silent is found: 0.7 s after the end of the wait."""
 ENTRIES_PACE = Pace(wait=8.0, pause=0.2)
 """The records of other entries may be late by 9 s, since their news show which entries are alive.
 Reservations apply to quotas only."""
@@ -52,14 +53,13 @@
 def read_times(bound: float) -> ReadTimes:
     """Return the times for a bound, in seconds, within which any change must be in force."""
     stretch = min(MAX_STRETCH_FACTOR, max(1.0, bound / MIN_BOUND_S))
-    targets = Pace(wait=TARGETS_PACE.wait * stretch, pause=TARGETS_PACE.pause * stretch)
     return ReadTimes(
         fresh=FRESH_S * stretch,
         own_read=OWN_READ_S * stretch,
         paces={
-            Kind.CONFIGURATION: RARELY_CHANGING_PACE,
-            Kind.TARGETS: targets,
-            Kind.EVACUATIONS: RARELY_CHANGING_PACE,
+            Kind.CONFIGURATION: CONFIGURATION_PACE.stretched(stretch),
+            Kind.TARGETS: TARGETS_PACE.stretched(stretch),
+            Kind.EVACUATIONS: EVACUATIONS_PACE.stretched(stretch),
             Kind.ENTRIES: ENTRIES_PACE,
             Kind.RESERVATIONS: ENTRIES_PACE,
         },
--- a/briarspur/gateway/sync.py
+++ b/briarspur/gateway/sync.py
@@ -28,8 +28,9 @@
 """Time after the return of the store from an older copy within which the writers of its objects
 have written again what the copy lacks. The platform specifies about 2 s for registrations, and no
 time for what the operator writes: to hold an evacuation for too long costs only capacity."""
-WATCH_GAP_S = 0.5
-"""Time for which a finished watch counts as open, since the next one follows after the pause."""
+ANSWER_SLACK_S = 0.75
+"""Time after the end of a watch and a pause within which the next answer follows, if the store
+responds."""
 
 
 class _RecheckError(Exception):
@@ -52,6 +53,10 @@
     wait: float
     pause: float
 
+    def stretched(self, factor: float) -> "Pace":
+        """Return the pace of a deployment with longer bounds."""
+        return Pace(self.wait * factor, self.pause * factor)
+
 
 class Sync:
     """Follows the objects of one kind.
@@ -114,10 +119,13 @@
         return self._failures > 0 and self._clock() - self._failed_at <= FAILURE_EXPIRY_S
 
     def is_current(self, now: float) -> bool:
-        """Return whether changes arrive immediately: a watch is open, or ended a moment ago."""
+        """Return whether the store was heard so recently that no change can be missing.
+
+        An open watch proves nothing: its connection may have gone silent.
+        """
         if self.is_failing or self.replica.revision == 0:
             return False
-        return self._call is not None or now - self.current_at <= WATCH_GAP_S
+        return now - self.current_at <= self._pace.wait + self._pace.pause + ANSWER_SLACK_S
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/briarspur/platform/calls.py
+++ b/briarspur/platform/calls.py
@@ -24,6 +24,7 @@
     "OK",
     "Item",
     "Items",
+    "WAITED_CREDIT_S",
     "StoreCalls",
     "WriteResult",
     "write_error",
@@ -38,6 +39,9 @@
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 MS_PER_S = 1_000
+WAITED_CREDIT_S = 0.3
+"""Part of the timeout that a watch which has waited doesn't need: its connection is open and the
+store has its request. Until a silent connection is found, changes are missed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +140,7 @@
             The store no longer has the changes since that revision.
         """
         query = f"?watch={revision}&waitMs={round(wait * MS_PER_S)}"
-        response = await self._page(_path(kind) + query, wait)
+        response = await self._page(_path(kind) + query, max(0.0, wait - WAITED_CREDIT_S))
         page = response.document
         events = _list(page, "events")
         changes = tuple(
--- a/tests/gateway/simulatedstore.py
+++ b/tests/gateway/simulatedstore.py
@@ -10,6 +10,7 @@
 from briarspur.gateway.objectsource import HistoryGoneError, StoreReturnedError
 from briarspur.gateway.replica import Batch, Kind, StoredChange
 from briarspur.gateway.settings import StoreSettings
+from briarspur.platform.calls import WAITED_CREDIT_S
 
 __all__ = [
     "STORE_PLACE",
@@ -213,7 +214,7 @@
     async def _call(self, wait: float, answer: Callable[[], Batch]) -> Batch:
         self.calls += 1
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait):
+            async with asyncio.timeout(CALL_TIMEOUT_S + max(0.0, wait - WAITED_CREDIT_S)):
                 return await self._answer(wait, answer)
         except TimeoutError:
             raise StoreUnavailableError("timed out") from None
