--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -125,3 +125,27 @@
             channel.dataReceived(b"\r\n".join(lines) + b"\r\n\r\n")
             with self.subTest(added):
                 self.assertEqual(is_accepted, len(handler.handled) == 1)
+
+
+class OpenChannelTest(unittest.TestCase):
+    """Limits of a new configuration apply to connections that are open."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.handler = RecordingHandler()
+        self.frontend = Frontend(self.clock, self.handler, MEMORY_BYTES, 1_000)
+        self.frontend.apply_limits(Limits(header_bytes=2_048, body_bytes=2_048, idle_s=5.0))
+        self.channel = self.frontend.factory.buildProtocol(ADDRESS)
+        self.transport = Transport()
+        self.channel.makeConnection(self.transport)
+
+    def send(self, header_bytes: int = 10, body_bytes: int = 0) -> None:
+        head = b"POST /notes/x HTTP/1.1\r\nHost: quay.example\r\nX-Note: %b\r\n"
+        length = b"Content-Length: %d\r\n\r\n" % body_bytes
+        self.channel.dataReceived(head % (b"n" * header_bytes) + length + b"x" * body_bytes)
+
+    def test_longer_headers_are_accepted(self) -> None:
+        """Guards against 431 on connections that were open when the limit rose."""
+        self.frontend.apply_limits(Limits(header_bytes=16_384))
+        self.send(header_bytes=4_096)
+        self.assertEqual((1, []), (len(self.handler.handled), self.handler.refused))
