Read the limits of headers from the configuration in force

Callers got 431 for proper requests on connections that were open when the limit rose: a connection took the limit when it opened. Twisted reads both limits during each request, so they are properties now. The other limits of a connection were read when needed already; tests show it for bodies, receive time and idle time.

--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -63,8 +63,6 @@
         super().__init__()
         self.factory = factory
         self.requestFactory = cast("type[Request]", factory.build_request)
-        self.totalHeadersSize = factory.limits.header_bytes
-        self.MAX_LENGTH = factory.limits.header_bytes
         self.timeOut = None
         self.refused = False
         self.receiving_since = math.inf
@@ -72,6 +70,19 @@
         self.buffered_bytes = 0
         self.head_received = False
 
+    # Twisted reads these two limits during each request. The configuration may change while the
+    # connection is open, so they are not copied.
+
+    @property
+    def totalHeadersSize(self) -> int:  # type: ignore[override]  # noqa: N802
+        """Maximum size of a request's headers in bytes."""
+        return int(self.factory.limits.header_bytes)
+
+    @property
+    def MAX_LENGTH(self) -> int:  # type: ignore[override]  # noqa: N802
+        """Maximum size of one header line in bytes."""
+        return int(self.factory.limits.header_bytes)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Refuse the caller immediately if there are too many connections."""
         super().connectionMade()
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -6,6 +6,7 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.task import Clock
 
+from briarspur.codes import Code
 from briarspur.gateway.configuration import Limits
 from briarspur.gateway.frontend import MAX_BODY_MEMORY_SHARE, Frontend, FrontendRequest
 from briarspur.gateway.services import IncomingRequest
@@ -149,3 +150,28 @@
         self.frontend.apply_limits(Limits(header_bytes=16_384))
         self.send(header_bytes=4_096)
         self.assertEqual((1, []), (len(self.handler.handled), self.handler.refused))
+
+    def test_too_long_headers_are_refused(self) -> None:
+        self.frontend.apply_limits(Limits(header_bytes=1_024))
+        self.send(header_bytes=1_500)
+        self.assertEqual([Code.HEADERS_TOO_LARGE], [r.code for r in self.handler.refused])
+
+    def test_larger_bodies_are_accepted(self) -> None:
+        self.frontend.apply_limits(Limits(body_bytes=1_000_000))
+        self.send(body_bytes=4_096)
+        self.assertEqual((1, []), (len(self.handler.handled), self.handler.refused))
+
+    def test_idle_and_receive_times_are_the_new_ones(self) -> None:
+        closed: list[float] = []
+        self.transport.loseConnection = lambda: closed.append(self.clock.seconds())  # type: ignore
+        self.frontend.apply_limits(Limits(idle_s=20.0, header_s=40.0))
+        self.clock.advance(10.0)
+        self.channel.check_timeouts(self.clock.seconds())
+        self.assertEqual([], closed)
+        self.channel.dataReceived(b"POST /notes/x HTTP/1.1\r\n")
+        self.clock.advance(50.0)
+        self.channel.check_timeouts(self.clock.seconds())
+        self.assertEqual([], self.handler.refused)
+        self.frontend.apply_limits(Limits(idle_s=20.0, header_s=1.0))
+        self.channel.check_timeouts(self.clock.seconds())
+        self.assertEqual(1, len(self.handler.refused))
