Skip registrations whose id or port can't be used, or that are cold for ever

An entry of another writer made each request that chose it fail: an id with a lone surrogate or outside of Latin-1 can't be encoded as a header, one with a line end would have added headers, and a port above 65535 raises an error when connecting. An endless warmupLeftMs kept a server cold for as long as it ran.

--- a/briarspur/platform/documents.py
+++ b/briarspur/platform/documents.py
@@ -4,6 +4,7 @@
 objects.
 """
 
+import re
 from typing import Any, Literal
 
 from expression import Error, Ok, Result
@@ -23,6 +24,10 @@
 ]
 
 MS_PER_S = 1_000.0
+MAX_WARM_UP_MS = 86_400_000.0
+MAX_PORT = 65_535
+SERVER_ID = re.compile(r"[\x21-\x7e]+")
+"""Ids are sent in a header."""
 ORDER_FIELDS = {
     Kind.CONFIGURATION: ("version",),
     Kind.TARGETS: ("born", "seq"),
@@ -47,7 +52,7 @@
     # The protocol defines these two states; a registration in any other state must not be used.
     state: Literal["ready", "draining"]
     # The remaining time in which the server is slow, not the time since it started.
-    warmupLeftMs: float = Field(default=0.0, ge=0.0)  # noqa: N815
+    warmupLeftMs: float = Field(default=0.0, ge=0.0, le=MAX_WARM_UP_MS)  # noqa: N815
     # Start of this incarnation in Unix milliseconds; absent from servers that never restart.
     born: int = 0
 
@@ -96,6 +101,10 @@
     except ValidationError as error:
         return Error(first_fault(error))
     host, _, port = registration.address.rpartition(":")
+    if not SERVER_ID.fullmatch(name):
+        return Error(f"id: {name!r} can't be sent in a header")
+    if not 1 <= int(port) <= MAX_PORT:
+        return Error(f"address: {port} is no port")
     return Ok(
         Registration(
             target_id=name,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -46,6 +46,20 @@
         self.assertFalse(read.draining)
         self.assertTrue(decode_registration("t", {**SERVER, "state": "draining"}).ok.draining)
 
+    def test_values_that_no_server_has_are_malformed(self) -> None:
+        """Guards against requests that fail, or a cold server for ever, by another writer's entry."""
+        for field, value in (
+            ("address", "10.1.0.9:65536"),
+            ("address", "10.1.0.9:0"),
+            ("warmupLeftMs", float("inf")),
+            ("warmupLeftMs", 1e300),
+        ):
+            with self.subTest(field=field, value=value):
+                self.assertTrue(decode_registration("t-1", {**SERVER, field: value}).is_error())
+        for name in ("t-\ud800", "t-1\r\nX-Other: 1", "t 1", "t-\u20ac", ""):
+            with self.subTest(name=name):
+                self.assertTrue(decode_registration(name, SERVER).is_error())
+
     def test_the_error_names_the_invalid_field(self) -> None:
         for field, value in (
             ("state", "resting"),
