--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -47,7 +47,7 @@
         self.assertTrue(decode_registration("t", {**SERVER, "state": "draining"}).ok.draining)
 
     def test_values_that_no_server_has_are_malformed(self) -> None:
-        """Guards against requests that fail, or a cold server for ever, by another writer's entry."""
+        """Guards against requests that fail because of another writer's entry."""
         for field, value in (
             ("address", "10.1.0.9:65536"),
             ("address", "10.1.0.9:0"),
