End a once-only request at its deadline although its caller has left

A request that can't be repeated runs on when its caller disconnects, and lost its time limit with it: a server that never answered kept a request in flight, and counted as that much busier, for as long as the entry ran. The test failed before (it waited for ever).

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -88,15 +88,19 @@
     def caller_disconnected(self) -> None:
         """Stop the work for a caller that has disconnected.
 
-        A request that can't be repeated runs to completion: interrupting it halfway would be worse.
+        A request that can't be repeated runs to completion, or to its deadline: interrupting it
+        halfway would be worse.
         """
         if self.done:
             return
         self._decided = True
         if self.work.route.repeatable:
-            for outgoing in list(self._active):
-                outgoing.abandon(Outcome.ABANDONED)
+            self._abandon_all(Outcome.ABANDONED)
         self._finish(Code.CALLER_GONE, 0)
+        if self._active:
+            clock = self._services.clock
+            remaining = max(0.0, self.work.deadline - clock.seconds())
+            clock.callLater(remaining, self._abandon_all, Outcome.TIMED_OUT)
 
     def expire(self) -> None:
         """Give up at the deadline, or when the process ends, and tell the caller."""
@@ -104,8 +108,7 @@
             return
         self._decided = True
         streaming, self._streaming = self._streaming, None
-        for outgoing in list(self._active):
-            outgoing.abandon(Outcome.TIMED_OUT)
+        self._abandon_all(Outcome.TIMED_OUT)
         if streaming is not None:
             self._abort_response(Code.ANSWER_CUT_SHORT)
             return
@@ -252,6 +255,10 @@
         self._caller.abort()
         self._finish(code, 0)
 
+    def _abandon_all(self, outcome: Outcome) -> None:
+        for outgoing in list(self._active):
+            outgoing.abandon(outcome)
+
     def _abandon_others(self, chosen: OutgoingRequest) -> None:
         for outgoing in list(self._active):
             if outgoing is not chosen:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -160,6 +160,19 @@
 
         self.run_request([hangs], check, path="/book/1")
 
+    def test_a_booking_whose_caller_has_left_ends_at_its_deadline(self) -> None:
+        """Guards against a silent server that counts as busy for ever."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: bool(backends[0].heads))
+            exchange.caller_disconnected()
+            await eventually(lambda: bool(caller.outcomes))
+            self.assertEqual([Outcome.TIMED_OUT], caller.outcomes)
+            targets = exchange._services.steering.targets.by_number.values()
+            self.assertEqual([0], [target.in_flight for target in targets])
+
+        self.run_request([hangs], check, path="/book/1", timeout=0.5)
+
     def test_the_deadline_ends_the_request(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             await eventually(lambda: caller.finished)
