Count the time in which a request is received as its caller's time

The deadline of a slow upload began when its body was complete, so its server was given the caller's whole time once more. Found by the review by reading. The test can't run on the code before, which has no such time.

--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -66,6 +66,7 @@
         self.timeOut = None
         self.refused = False
         self.receiving_since = math.inf
+        self.receive_s = 0.0
         self.idle_since = factory.clock.seconds()
         self.buffered_bytes = 0
         self.head_received = False
@@ -131,6 +132,8 @@
         if self.refused:
             return
         self.head_received = False
+        # A pipelined request was received while the one before it was handled.
+        self.receive_s = max(0.0, self.factory.clock.seconds() - self.receiving_since)
         self.receiving_since = math.inf
         self.idle_since = math.inf
         super().allContentReceived()
--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -322,7 +322,7 @@
 
     def _arrival(self, request: IncomingRequest) -> Arrival:
         arrival = self._dialect.arrival(request.uri, request.headers, len(request.body))
-        timeout = arrival.timeout
+        timeout = request.remaining(arrival.timeout)
         if self._shutdown is not None:
             timeout = min(timeout, self._shutdown.remaining())
         return replace(arrival, timeout=timeout, content=request.content(arrival))
--- a/briarspur/gateway/frontend.py
+++ b/briarspur/gateway/frontend.py
@@ -119,7 +119,12 @@
     def process(self) -> None:
         """Pass the complete request to the handler."""
         request = IncomingRequest(
-            self.method, self.uri, self.requestHeaders, self.pop_body(), self._source_address
+            self.method,
+            self.uri,
+            self.requestHeaders,
+            self.pop_body(),
+            self._source_address,
+            cast(CallerChannel, self.channel).receive_s,
         )
         self._exchange = self._handler.handle(request, self)
 
--- a/briarspur/gateway/services.py
+++ b/briarspur/gateway/services.py
@@ -26,6 +26,8 @@
     ----------
     source_address : str
         IP address of the caller, also if another entry passed the request on.
+    receive_s : float
+        Seconds that it took to receive the request.
     """
 
     method: bytes
@@ -33,6 +35,11 @@
     headers: Headers
     body: bytes
     source_address: str = ""
+    receive_s: float = 0.0
+
+    def remaining(self, timeout: float) -> float:
+        """Return what is left of the seconds for which the caller waits."""
+        return timeout - self.receive_s
 
     def content(self, arrival: Arrival) -> RequestContent:
         """Return what identifies this request if its caller sends it again."""
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -100,6 +100,20 @@
         self.assertIn(b"http/1.1 503", answer)
         self.assertIn(b"retry-after:", answer)
 
+    def test_the_time_of_a_slow_upload_is_part_of_its_callers_time(self) -> None:
+        """Guards against servers that are given the caller's whole time once more."""
+        clock = Clock()
+        frontend = Frontend(clock, self.handler, MEMORY_BYTES, 1_000)
+        frontend.apply_limits(Limits(body_bytes=1_000_000))
+        channel = frontend.factory.buildProtocol(ADDRESS)
+        channel.makeConnection(Transport())
+        channel.dataReceived(b"POST /notes/x HTTP/1.1\r\nHost: quay.example\r\n")
+        clock.advance(0.5)
+        channel.dataReceived(b"Content-Length: 20\r\n\r\n" + b"x" * 10)
+        clock.advance(1.0)
+        channel.dataReceived(b"x" * 10)
+        self.assertEqual(2.5, self.handler.handled[0].remaining(4.0))
+
     def test_a_truncated_body_is_not_handled(self) -> None:
         """A grower's connection is lost in the middle of a delivery note.
 
