--- a/briarspur/gateway/app.py
+++ b/briarspur/gateway/app.py
@@ -299,8 +299,6 @@
         self, request: IncomingRequest, caller: FrontendRequest
     ) -> Exchange | None:
         """Start the exchange of a request that another entry passed on."""
-        source = self._dialect.source_address(request.headers)
-        request = replace(request, source_address=source)
         return self._begin(request, caller, is_forwarded=True)
 
     def _begin(
--- a/briarspur/gateway/dialect.py
+++ b/briarspur/gateway/dialect.py
@@ -48,22 +48,12 @@
         headers: Headers,
         body: bytes,
         remaining_ms: int,
-        source_address: str,
     ) -> bytes:
-        """Return a request as it is passed on to another entry.
-
-        Parameters
-        ----------
-        source_address : str
-            IP address of the caller.
-        """
+        """Return a request as it is passed on to another entry."""
 
     def refusal(self, head: AnswerHead) -> Refused | None:
         """Return the refusal of another entry; None if the response is a server's."""
 
-    def source_address(self, headers: Headers) -> str:
-        """Return the caller's IP address in a request that another entry passed on."""
-
     def matches_request(self, headers: Headers, request_id: bytes) -> bool:
         """Return whether a response is the one to a request."""
 
--- a/briarspur/gateway/entrydestination.py
+++ b/briarspur/gateway/entrydestination.py
@@ -59,7 +59,6 @@
             request.headers,
             request.body,
             remaining_ms,
-            request.source_address,
         )
 
     def head_received(self, head: AnswerHead) -> None:
--- a/briarspur/gateway/frontend.py
+++ b/briarspur/gateway/frontend.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Iterable
-from typing import Any, Protocol, cast
+from typing import Protocol, cast
 
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
@@ -111,11 +111,6 @@
         self._handler = handler
         self._exchange: Exchange | None = None
 
-    @property
-    def _source_address(self) -> str:
-        """The IP address of the caller."""
-        return cast(str, cast(Any, self).getClientAddress().host)
-
     def process(self) -> None:
         """Pass the complete request to the handler."""
         request = IncomingRequest(
@@ -123,7 +118,6 @@
             self.uri,
             self.requestHeaders,
             self.pop_body(),
-            self._source_address,
             cast(CallerChannel, self.channel).receive_s,
         )
         self._exchange = self._handler.handle(request, self)
--- a/briarspur/gateway/services.py
+++ b/briarspur/gateway/services.py
@@ -24,8 +24,6 @@
 
     Attributes
     ----------
-    source_address : str
-        IP address of the caller, also if another entry passed the request on.
     receive_s : float
         Seconds that it took to receive the request.
     """
@@ -34,7 +32,6 @@
     uri: bytes
     headers: Headers
     body: bytes
-    source_address: str = ""
     receive_s: float = 0.0
 
     def remaining(self, timeout: float) -> float:
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -82,13 +82,9 @@
         headers: Headers,
         body: bytes,
         remaining_ms: int,
-        source_address: str,
     ) -> bytes:
         """Return a request, encoded to be passed on to another entry with its API key."""
-        added = [
-            (names.DEADLINE_MS, b"%d" % remaining_ms),
-            (SOURCE_ADDRESS, source_address.encode()),
-        ]
+        added = [(names.DEADLINE_MS, b"%d" % remaining_ms)]
         return _encode(method, uri, headers, SET_BY_GATEWAY - {names.API_KEY.lower()}, added, body)
 
     def refusal(self, head: AnswerHead) -> Refused | None:
@@ -102,10 +98,6 @@
         except ValueError:
             return None
 
-    def source_address(self, headers: Headers) -> str:
-        """Return the caller's IP address in a request that another entry passed on."""
-        return _text(last_value(headers, SOURCE_ADDRESS))
-
     def matches_request(self, headers: Headers, request_id: bytes) -> bool:
         """Return whether a response belongs to a request; rejections may have no request id."""
         echoed = last_value(headers, names.REQUEST_ID)
