--- a/tools/check.py
+++ b/tools/check.py
@@ -20,6 +20,7 @@
 """Largest number of tests whose failures may be ignored at a time."""
 NO_TEST_PREFIX = "hunted day"
 FAILED = ("failed", "error")
+SUBTEST = "subtest"
 STATIC_CHECKS = (
     ("black", ["black", "--check", "--quiet", "."]),
     ("ruff", ["ruff", "check", "--quiet", "."]),
@@ -39,8 +40,10 @@
     counts: ClassVar[Counter[str]] = Counter()
 
     def setTestOutcome(self, event) -> None:  # type: ignore[no-untyped-def]  # noqa: N802
-        """Report the failure of a known red test as a skip."""
-        if event.outcome in FAILED and event.test.id() in self.known_red:
+        """Report the failure of a known red test, or of a subtest of it, as a skip."""
+        test = getattr(event.test, "test_case", event.test)
+        has_failed = event.outcome in FAILED or (event.outcome == SUBTEST and event.exc_info)
+        if has_failed and test.id() in self.known_red:
             event.outcome = "skipped"
             event.reason = "KNOWN-RED"
 
