Log whether an unanswered attempt used a new connection

A trial with callers of eight kinds at an entry that is stopped shows requests whose responses are not read until their deadline.

--- a/briarspur/gateway/requestlog.py
+++ b/briarspur/gateway/requestlog.py
@@ -98,6 +98,7 @@
             seconds=f"{seconds:.3f}",
             expected=f"{attempt.expected:.3f}",
             suspected="yes" if attempt.target.breaker.suspected(now) else None,
+            connection=_connection(attempt) if outcome in UNANSWERED else None,
             content=_content(attempt.work) if outcome in UNANSWERED else None,
             caller=_caller(attempt.work) if outcome in UNANSWERED else None,
         )
@@ -218,6 +219,13 @@
     return None if work.content is None else f"{work.content.digest:016x}"
 
 
+def _connection(attempt: Attempt) -> str | None:
+    """Return whether the request was sent over a new connection or one that was used before."""
+    if not attempt.sent:
+        return None
+    return "new" if attempt.is_first_on_connection else "reused"
+
+
 def _caller(work: Work) -> str | None:
     return None if work.content is None else f"{work.content.caller:08x}"
 
--- a/tests/gateway/test_requestlog.py
+++ b/tests/gateway/test_requestlog.py
@@ -69,3 +69,11 @@
         refused = [fields for name, fields in self.lines if name == "refused"]
         self.assertLess(len(refused), MAX_FAILURE_LINES_PER_S * 7)
         self.assertGreater(self.log.final_counts["lines_left_out"], 1_000)
+
+    def test_unanswered_attempts_tell_whether_their_connection_was_reused(self) -> None:
+        gateway_steering = steering(3)
+        for is_first, connection in ((True, "new"), (False, "reused")):
+            attempt = sent(gateway_steering, begun(gateway_steering))
+            attempt.sent, attempt.is_first_on_connection = True, is_first
+            self.log.attempt_ended(attempt, Outcome.TIMED_OUT, "", self.now)
+            self.assertEqual(connection, self.lines[-1][1]["connection"])
