Read a server's connection again before it is kept for the next request

Callers got no response, or a late one from a second server, although a sound server had answered at once: a once-only request ended with 504 at its deadline, one that may be repeated was hedged. The last chunk of a long response may pause the server's connection, as the caller's buffers are full. The connection then went back to the pool, and nobody resumed it.

Evidence: at the deadline the sockets held the whole responses, and the reactor didn't watch them. The test failed before: the second request's status was 0 instead of 200.

--- a/briarspur/gateway/connection.py
+++ b/briarspur/gateway/connection.py
@@ -189,6 +189,9 @@
         if parser.closes_connection or has_extra_bytes:
             self._transport.abortConnection()
         else:
+            # The last chunk may have filled the buffers of a slow caller, whose flow then paused
+            # this connection.
+            self.resume()
             self.owner.connection_idle(self)
         if sink is not None:
             sink.response_complete()
--- a/tests/gateway/exchangecase.py
+++ b/tests/gateway/exchangecase.py
@@ -131,6 +131,7 @@
         check: Callable[[Recorder, Exchange, list[RawBackend]], Awaitable[None]],
         path: str = "/times/1",
         timeout: float = 3.0,
+        caller: Recorder | None = None,
     ) -> None:
         """Run one request against one server per script, in the request's order of preference."""
 
@@ -145,7 +146,7 @@
             now = the_reactor().seconds()
             for target_id, backend in zip(ordered, backends, strict=True):
                 gateway_steering.targets.registered(registration(target_id, port=backend.port), now)
-            recorder = Recorder()
+            recorder = caller or Recorder()
             pool = ConnectionPool(the_reactor())
             services = Services(gateway_steering, pool, the_reactor(), PlatformDialect(), recorder)
             request_work = begun(gateway_steering, now, path=path, timeout=timeout)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+from briarspur.bufferedrequest import Flow
 from briarspur.codes import Code
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.outcome import Outcome
@@ -16,10 +17,23 @@
     resets,
     sheds,
 )
+from tests.gateway.samples import begun
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually, the_reactor
 
 
+class SlowRecorder(Recorder):
+    """A caller whose buffers are full for a while after each chunk."""
+
+    def register_flow(self, flow: Flow) -> None:
+        self._flow = flow
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        self._flow.pause()
+        the_reactor().callLater(0.01, self._flow.resume)
+
+
 class ExchangeTest(ExchangeCase):
     """Every caller gets the complete response to its own request, or an accurate error."""
 
@@ -195,6 +209,31 @@
 
         self.run_request([truncates, answers], check)
 
+    def test_a_connection_is_read_again_after_a_response_that_was_paused(self) -> None:
+        """Guards against responses that nobody reads, as an earlier one left its connection paused.
+
+        The caller of the first request reads slowly, and its last chunk fills the buffers.
+        """
+        body = b"x" * 600_000
+
+        async def answers_in_two_parts(connection: Connection, head: bytes) -> None:
+            response = full_response(head, body)
+            connection.writer.write(response[:-100])
+            await asyncio.sleep(0.1)
+            connection.writer.write(response[-100:])
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = Recorder()
+            services = exchange._services
+            work = begun(services.steering, the_reactor().seconds(), path="/times/1")
+            Exchange(services, exchange.request, work, second, lambda ended: None).start()
+            await eventually(lambda: second.finished)
+            self.assertEqual((200, len(body)), (second.status, len(second.body)))
+            self.assertEqual([2, 1], [len(backends[0].heads), len(backends[0].connections)])
+
+        self.run_request([answers_in_two_parts], check, caller=SlowRecorder())
+
     def test_a_response_without_a_length_ends_with_its_connection(self) -> None:
         async def unframed(connection: Connection, head: bytes) -> None:
             connection.writer.write(
