Answer requests that were read behind others when an entry is stopped

A caller that sends a request before the last one is answered got nothing for it when its entry was stopped: the connection closed after the response in progress, although the process had read the request. The connection's end was decided without what is kept for the next request. While some of a further request was received, no close is announced now, and the connection stays open; an incomplete one counts as being received. Its time counts from its first byte, so that servers don't get the caller's time of waiting once more.

--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -1,6 +1,7 @@
 """HTTP connections of callers, with limits on the resources that one caller can use."""
 
 import math
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -70,6 +71,10 @@
         self.idle_since = factory.clock.seconds()
         self.buffered_bytes = 0
         self.head_received = False
+        # Time and size of each chunk of data that may contain bytes of requests not parsed yet.
+        self._chunks: deque[tuple[float, int]] = deque()
+        # Twisted passes the data of a further request to dataReceived again when it is parsed.
+        self._is_replaying = False
 
     # Twisted reads these two limits during each request. The configuration may change while the
     # connection is open, so they are not copied.
@@ -101,10 +106,18 @@
         """Parse received data unless the caller was refused."""
         if self.refused:
             return
-        if not self._handlingRequest and self.receiving_since == math.inf:
-            self.receiving_since = self.factory.clock.seconds()
+        if not self._is_replaying:
+            self._record_received(len(data))
         super().dataReceived(data)
 
+    def _record_received(self, size: int) -> None:
+        now = self.factory.clock.seconds()
+        if not self._handlingRequest:
+            self._chunks.clear()
+            if self.receiving_since == math.inf:
+                self.receiving_since = now
+        self._chunks.append((now, size))
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Parse a line of a head."""
         if not self.refused:
@@ -132,19 +145,34 @@
         if self.refused:
             return
         self.head_received = False
-        # A pipelined request was received while the one before it was handled.
         self.receive_s = max(0.0, self.factory.clock.seconds() - self.receiving_since)
         self.receiving_since = math.inf
         self.idle_since = math.inf
         super().allContentReceived()
 
     def requestDone(self, request: object) -> None:  # noqa: N802
-        """Wait for the next request of this connection."""
+        """Wait for the next request of this connection, or handle one that was received already."""
         self.idle_since = self.factory.clock.seconds()
         self.release_body()
-        if self.factory.closing:
+        if self.has_next_request:
+            self.receiving_since = self._received_at(sum(map(len, self._dataBuffer)))
+        elif self.factory.closing:
             self.persistent = 0
+        self._is_replaying = True
         super().requestDone(request)
+        self._is_replaying = False
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether some of a further request was received while one is handled."""
+        return bool(self.persistent) and any(self._dataBuffer)
+
+    def _received_at(self, unread: int) -> float:
+        """Return when the first of the last ``unread`` bytes was received."""
+        total = sum(size for _, size in self._chunks)
+        while total - self._chunks[0][1] >= unread:
+            total -= self._chunks.popleft()[1]
+        return self._chunks[0][0]
 
     def account_body(self, size: int) -> None:
         """Account for a part of a request's body; refuse the request if a limit is exceeded."""
--- a/briarspur/gateway/frontend.py
+++ b/briarspur/gateway/frontend.py
@@ -186,8 +186,8 @@
             cast(CallerChannel, self.channel).abort()
 
     def _announce_close(self) -> None:
-        """Add ``Connection: close`` to the response if this process is leaving."""
+        """Add ``Connection: close`` to the last response before the connection closes."""
         channel = cast(CallerChannel, self.channel)
-        if channel.factory.closing:
+        if channel.factory.closing and not channel.has_next_request:
             channel.persistent = 0
             self.setHeader(b"connection", b"close")
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -1,11 +1,14 @@
 """Tests of the memory limit of a gateway process during a burst of large uploads."""
 
 import unittest
+from collections.abc import Iterable
 from typing import Any, cast
 
 from twisted.internet.address import IPv4Address
 from twisted.internet.task import Clock
+from twisted.web.http_headers import Headers
 
+from briarspur.answerhead import AnswerHead
 from briarspur.codes import Code
 from briarspur.gateway.configuration import Limits
 from briarspur.gateway.frontend import MAX_BODY_MEMORY_SHARE, Frontend, FrontendRequest
@@ -41,6 +44,9 @@
     def write(self, data: bytes) -> None:
         self.written += data
 
+    def writeSequence(self, data: Iterable[bytes]) -> None:  # noqa: N802
+        self.write(b"".join(data))
+
     def getPeer(self) -> IPv4Address:  # noqa: N802
         return ADDRESS
 
@@ -56,6 +62,7 @@
         pass
 
     loseWriteConnection = abortConnection = loseConnection  # noqa: N815
+    pauseProducing = resumeProducing = unregisterProducer = loseConnection  # noqa: N815
 
 
 class UploadBurstTest(unittest.TestCase):
@@ -189,3 +196,81 @@
         self.frontend.apply_limits(Limits(idle_s=20.0, header_s=1.0))
         self.channel.check_timeouts(self.clock.seconds())
         self.assertEqual(1, len(self.handler.refused))
+
+
+class AnsweringHandler(RecordingHandler):
+    """Accepts requests, which the test answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.callers: list[FrontendRequest] = []
+
+    def handle(self, request: IncomingRequest, caller: FrontendRequest) -> None:
+        super().handle(request, caller)
+        self.callers.append(caller)
+
+    def answer_next(self) -> None:
+        caller = self.callers.pop(0)
+        caller.begin(AnswerHead(200, Headers(), 2), ())
+        caller.write(b"ok")
+        caller.end()
+
+
+class PipelinedRequestTest(unittest.TestCase):
+    """A caller sends further requests before its first one is answered."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.handler = AnsweringHandler()
+        self.frontend = Frontend(self.clock, self.handler, MEMORY_BYTES, 1_000)
+        self.channel = self.frontend.factory.buildProtocol(ADDRESS)
+        self.transport = Transport()
+        self.closed_at: list[float] = []
+        self.transport.loseConnection = lambda: self.closed_at.append(self.clock.seconds())  # type: ignore
+        self.channel.makeConnection(self.transport)
+
+    def send(self, count: int, end: bytes = b"\r\n") -> None:
+        head = b"POST /notes/x HTTP/1.1\r\nHost: quay.example\r\nContent-Length: 2\r\n"
+        self.channel.dataReceived((head + end + b"xx") * count)
+
+    def test_requests_that_were_read_are_answered_before_a_connection_closes(self) -> None:
+        """Guards against a stopped entry that drops requests which it has read."""
+        self.send(3)
+        self.frontend.close_connections()
+        for _ in range(3):
+            self.handler.answer_next()
+        self.assertEqual(3, self.transport.written.count(b"HTTP/1.1 200"))
+        last = self.transport.written.lower().rpartition(b"http/1.1 200")[2]
+        self.assertIn(b"connection: close", last)
+        self.assertEqual(1, self.transport.written.lower().count(b"connection: close"))
+        self.assertEqual(1, len(self.closed_at))
+
+    def test_a_connection_without_a_further_request_closes_after_its_response(self) -> None:
+        self.send(1)
+        self.frontend.close_connections()
+        self.handler.answer_next()
+        self.assertIn(b"connection: close", self.transport.written.lower())
+        self.assertEqual(1, len(self.closed_at))
+
+    def test_an_incomplete_further_request_is_refused_as_the_entry_ends(self) -> None:
+        """Guards against a connection that closes without a response as the process ends."""
+        self.send(1)
+        self.channel.dataReceived(b"POST /notes/x HTTP/1.1\r\nHost: quay.example\r\n")
+        self.frontend.close_connections()
+        self.handler.answer_next()
+        self.assertEqual([], self.closed_at)
+        self.frontend.refuse_incomplete(Refusal(Code.NOT_READ))
+        self.assertIn(b"HTTP/1.1 503", self.transport.written)
+
+    def test_time_spent_waiting_is_part_of_the_callers_time(self) -> None:
+        """Guards against servers that are given the caller's whole time once more."""
+        self.send(1)
+        self.clock.advance(0.5)
+        self.send(1)
+        self.clock.advance(0.25)
+        self.send(1)
+        self.clock.advance(0.25)
+        self.handler.answer_next()
+        self.clock.advance(1.0)
+        self.handler.answer_next()
+        self.assertEqual([4.0, 3.5, 2.75], [r.remaining(4.0) for r in self.handler.handled])
