Await once-only requests whose callers have left when an entry is stopped

A booking goes on after its caller has left, but a stopped entry didn't wait for it: the process ended, the server saw the connection close and could drop the booking halfway. An exchange counted as ended once its caller was gone. Now it does once its attempts have ended, and the shutdown waits for it for the time that is left. The test failed before: the exchange had ended while its attempt ran.

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -89,7 +89,7 @@
         """Stop the work for a caller that has disconnected.
 
         A request that can't be repeated runs to completion, or to its deadline: interrupting it
-        halfway would be worse.
+        halfway would be worse. The process awaits it when it is stopped.
         """
         if self.done:
             return
@@ -152,6 +152,7 @@
         destination = outgoing.destination
         destination.record_end(outcome, detail, outgoing.was_sent, now)
         if self.done:
+            self._release()
             return
         if self._streaming is outgoing:
             self._streaming_ended(outcome)
@@ -282,7 +283,12 @@
         services = self._services
         now = services.clock.seconds()
         services.log.request_ended(self.work, code, status, now, detail)
-        self._on_ended(self)
+        self._release()
+
+    def _release(self) -> None:
+        """Report the end once no attempt runs; one may go on although its caller has left."""
+        if not self._active:
+            self._on_ended(self)
 
     def _schedule(self, delay: float, call: Callable[..., object], *args: object) -> None:
         self._timers.append(self._services.clock.callLater(max(0.0, delay), call, *args))
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -174,6 +174,24 @@
 
         self.run_request([hangs], check, path="/book/1")
 
+    def test_a_booking_counts_as_open_until_it_ends_although_its_caller_has_left(self) -> None:
+        """Guards against a stopped entry that interrupts bookings whose callers have left."""
+
+        async def answers_later(connection: Connection, head: bytes) -> None:
+            await asyncio.sleep(0.3)
+            await answers(connection, head)
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            ended: list[Exchange] = []
+            exchange._on_ended = ended.append
+            await eventually(lambda: bool(backends[0].heads))
+            exchange.caller_disconnected()
+            self.assertEqual([], ended)
+            await eventually(lambda: bool(caller.outcomes))
+            self.assertEqual([exchange], ended)
+
+        self.run_request([answers_later], check, path="/book/1")
+
     def test_a_booking_whose_caller_has_left_ends_at_its_deadline(self) -> None:
         """Guards against a silent server that counts as busy for ever."""
 
