Await bodies that are being received when the product's own entry is stopped

It wrote the outcomes of its keys and ended, and callers that were still uploading saw their connections close; a booking whose body ended in between could run without a written outcome. Now requests that are being received count as open, and the checks of slow callers go on until no connection is open. The test failed before: the stop was done before the body had ended.

--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -301,12 +301,17 @@
             if not channel.requests and channel.receiving_since == math.inf:
                 channel.loseConnection()
 
+    @property
+    def receiving(self) -> int:
+        """Number of requests that are being received."""
+        return sum(channel.receiving_since != math.inf for channel in self.channels)
+
     def stop_sweeping(self) -> None:
-        """Stop the periodic checks of connections."""
+        """Stop the periodic checks once no connection is open."""
         self._sweeping = False
 
     def _sweep(self) -> None:
-        if not self._sweeping:
+        if not self._sweeping and not self.channels:
             return
         now = self.clock.seconds()
         for channel in list(self.channels):
--- a/briarspur/entry.py
+++ b/briarspur/entry.py
@@ -170,8 +170,9 @@
         return self._left_at + propagation + policy.lookup_lifetime if policy else self._left_at
 
     def open_requests(self) -> int:
-        """Return the number of requests that have not ended."""
-        return self._driver.open_requests if self._driver is not None else 0
+        """Return the number of requests that are being received or have not ended."""
+        handled = self._driver.open_requests if self._driver is not None else 0
+        return handled + self._server.receiving
 
     async def close_server(self) -> None:
         """Accept no new connections."""
--- a/briarspur/server.py
+++ b/briarspur/server.py
@@ -128,6 +128,11 @@
             factory.close_idle()
             factory.stop_sweeping()
 
+    @property
+    def receiving(self) -> int:
+        """Number of requests that are being received."""
+        return self._caller_factory.receiving + self._forward_factory.receiving
+
     def next_request_id(self) -> str:
         """Return a request id that is unique among all entries."""
         self._last_number += 1
--- a/briarspur/stopping.py
+++ b/briarspur/stopping.py
@@ -25,7 +25,7 @@
         """Return the time, in seconds, when the last look-up that may list this entry expires."""
 
     def open_requests(self) -> int:
-        """Return the number of requests that have not ended."""
+        """Return the number of requests that are being received or have not ended."""
 
     async def close_server(self) -> None:
         """Accept no new connections; close open ones after their pending response."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -332,3 +332,26 @@
                 await deployment.daemons[1].stop()
 
         self.run_on_loop(work())
+
+    def test_stop_waits_for_a_body_that_is_being_received(self) -> None:
+        """Guards against uploads that are dropped, or run after the outcomes were written."""
+
+        async def work() -> None:
+            async with Deployment(entries=2) as deployment:
+                await deployment.apply(deployment.policy())
+                await deployment.wait_until_all_ready()
+                request = await deployment.booking_request(1, b"abcdefgh")
+                async with RawCaller(deployment.caller_port) as caller:
+                    caller.writer.write(request[:-2])
+                    await caller.writer.drain()
+                    stop = asyncio.ensure_future(deployment.daemon.stop())
+                    while await accepts_connections(deployment.caller_port):
+                        await asyncio.sleep(0.01)
+                    await asyncio.sleep(0.2)
+                    self.assertFalse(stop.done())
+                    answer = await caller.send(request[-2:])
+                self.assertEqual((answer.status, answer.body), (200, b"whole"))
+                await stop
+                await deployment.daemons[1].stop()
+
+        self.run_on_loop(work())
