Check in the fault soak how many servers run a request, and how much time they are given

The soak counted repeated arrivals and crashing requests only. Two rules of the retry budget are judged by what servers see as well: no more servers than a route's attempts run one request, and no server is given more time than the caller has left. Servers that had a fault meanwhile don't count.

--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -82,6 +82,7 @@
         self.lose_share = item.get("lose_share", 0.0)
         self.error_share = item.get("error_share", 0.0)
         self.crashes_on = item.get("crashes_on", "")
+        self.work_s = item.get("work_s", self.work_s)
 
     def listen(self, host: str, port: int) -> None:
         """Accept connections, also after each crash."""
@@ -106,9 +107,16 @@
     def render(self, request: Request) -> int:
         """Run a request, queue it or reject it."""
         self._transports = {t for t in self._transports if t.connected} | {request.transport}
-        self._write_ledger("arrival", request)
         expected = request.getHeader(b"x-expected-instance")
-        if expected is not None and expected != self.target_id.encode():
+        is_misdirected = expected is not None and expected != self.target_id.encode()
+        left_ms = request.getHeader(b"x-deadline-ms")
+        self._write_ledger(
+            "arrival",
+            request,
+            left_ms=None if left_ms is None else int(left_ms),
+            is_rejected=is_misdirected,
+        )
+        if is_misdirected:
             _answer(request, 421, {b"X-Not-Executed": b"1"})
         elif self.backoff_s > 0.0:
             self._write_ledger("rest", request)
@@ -153,9 +161,10 @@
         self.is_down = False
         self.listen(*self._address)
 
-    def _write_ledger(self, event: str, request: Request) -> None:
+    def _write_ledger(self, event: str, request: Request, **fields: object) -> None:
         request_id = (request.getHeader(b"x-request-id") or b"").decode()
         row = {"what": event, "id": request_id, "target": self.target_id, "at": time.time()}
+        row.update(fields)
         self.ledger.write(json.dumps(row) + "\n")
         self.ledger.flush()
 
@@ -271,7 +280,6 @@
             target = LiveTarget(
                 item["id"], item["service"], item["zone"], item["advertised"], ledger
             )
-            target.work_s = item.get("work_s", target.work_s)
             target.apply_settings(item)
             target.listen(item["host"], item["port"])
             target.on_crash = registrar.lapse
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -291,3 +291,30 @@
             self.assertEqual("t asked g0 to back off and got 4 requests", found[0])
             notices._fault_ends["targets0"] += [101.0, 104.0]
             self.assertEqual([], list(notices.check(soak.results)))
+
+    def test_too_many_servers_and_too_much_time_are_found(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            soak = FaultSoak(1, 1.0, 1, Path(folder))
+            soak.deployment.targets_by_process = {
+                "targets0": [{"id": f"t{n}", "service": "s0"} for n in range(5)]
+            }
+            soak.results = [
+                CallResult(f"r{n}", "/base/again/", False, "g0", 100.0) for n in range(30)
+            ]
+            rows = [
+                {"what": what, "id": f"r{n}", "target": f"t{server}", "at": 100.0 + server}
+                | {"left_ms": 2_000 if n < 25 else 500, "is_rejected": False}
+                for n in range(30)
+                for server in range(5 if n < 4 else 4)
+                for what in ("arrival", "run")
+            ]
+            ledger = Path(folder) / "targets0.runs"
+            ledger.write_text("".join(json.dumps(row) + "\n" for row in rows))
+            found = list(soak.attempts.check(soak.results))
+            self.assertEqual("4 requests ran at more than 4 servers, r0 at 5", found[0])
+            # Their callers wait until 102.0; servers may be given 0.5 s more.
+            # 25 requests are late from 101.0 on, the others at 103.0.
+            self.assertEqual("84 of 124 arrivals were given too much time, r0 first", found[1])
+            soak._notices.record_fault("t0")
+            soak._notices._fault_ends["t0"] = [99.0]
+            self.assertEqual(1, len(list(soak.attempts.check(soak.results))))
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -26,6 +26,7 @@
 
 from standins.launcher import Launcher  # noqa: E402
 from standins.loopproxy import Fault  # noqa: E402
+from tools.soakattempts import AttemptChecks  # noqa: E402
 from tools.soakcrashes import CrashFaults  # noqa: E402
 from tools.soakcuts import CutFaults  # noqa: E402
 from tools.soaknotices import NoticeFaults  # noqa: E402
@@ -39,6 +40,7 @@
     CallResult,
     SoakDeployment,
     call_store,
+    item_id_of,
 )
 from tools.soakretries import RetryFaults  # noqa: E402
 
@@ -73,8 +75,12 @@
         Guarantees that were violated.
     once_share : float
         Share of the requests that must not be repeated.
+    route_attempts : int
+        Servers that may run one request.
     """
 
+    route_attempts = 4
+
     def __init__(
         self,
         seed: int,
@@ -103,6 +109,9 @@
         self.retries = RetryFaults(self._rng, self.deployment, self._launcher)
         self.crashes = CrashFaults(self._rng, self.deployment, self._launcher)
         self.cuts = CutFaults(self._rng, self.deployment)
+        self.attempts = AttemptChecks(
+            self.deployment, self.route_attempts, self._had_no_server_fault
+        )
 
     async def run(self) -> None:
         """Start the deployment, inject faults under load, stop it and check the results."""
@@ -381,7 +390,7 @@
                     "latencyGoalMs": 400,
                     "priority": 1,
                     "service": SERVICES[number % len(SERVICES)],
-                    "attempts": 4,
+                    "attempts": self.route_attempts,
                     "sticky": True,
                 }
                 resources.append(
@@ -448,6 +457,7 @@
             self._check_drain(request_id, rows)
         self.findings.extend(self._notices.check(self.results))
         self.findings.extend(self.retries.check([*self.results, *self.crashes.results]))
+        self.findings.extend(self.attempts.check([*self.results, *self.crashes.results]))
         self.findings.extend(self.crashes.check())
         self.findings.extend(self.cuts.check(self.results))
         # Where the servers of one process fail requests or crash while those of the other are down,
@@ -463,6 +473,12 @@
         if answered * 2 < len(usual):
             self.findings.append(f"only {answered} of {len(usual)} requests were answered")
 
+    def _had_no_server_fault(self, target: str, begin: float, end: float) -> bool:
+        """Return whether a server, its process and the path to it had no fault."""
+        item_id = item_id_of(target)
+        process = self.deployment.process_of(item_id)
+        return all(self._notices.is_undisturbed(name, begin, end) for name in (item_id, process))
+
     def _must_be_known(self, result: CallResult) -> bool:
         for acknowledged, path, undisturbed in self._added_routes:
             if result.path.startswith(path):
--- a/tools/soaknotices.py
+++ b/tools/soaknotices.py
@@ -115,12 +115,12 @@
             notified_at: dict[str, float] = {}
             for row in self._deployment.arrivals(leaving.target_id):
                 gateway = gateway_by_request.get(row["id"], "")
-                if row["at"] < leaving.started_at + MAX_RELOAD_S or not self._is_undisturbed(
+                if row["at"] < leaving.started_at + MAX_RELOAD_S or not self.is_undisturbed(
                     leaving.process, leaving.started_at - 1.0, row["at"]
                 ):
                     continue
                 notified = notified_at.setdefault(gateway, row["at"] + MAX_RESPONSE_S)
-                disturbed = not self._is_undisturbed(gateway, leaving.started_at, row["at"])
+                disturbed = not self.is_undisturbed(gateway, leaving.started_at, row["at"])
                 if row["at"] > notified + MAX_DRAIN_S and not disturbed:
                     yield f"{leaving.target_id} leaves and got {row['id']} from {gateway}"
 
@@ -132,9 +132,7 @@
                 gateway, at = gateway_by_request.get(backoff["id"], ""), backoff["at"]
                 # A restarted target is a new incarnation, which has not asked for backoff.
                 sources = (gateway, target_id, process)
-                if not all(
-                    self._is_undisturbed(name, at - 1.0, at + BACKOFF_S) for name in sources
-                ):
+                if not all(self.is_undisturbed(name, at - 1.0, at + BACKOFF_S) for name in sources):
                     continue
                 count = sum(
                     at + BACKOFF_GRACE_S < row["at"] < at + BACKOFF_S
@@ -147,7 +145,7 @@
     def _check_limits(self, gateway_by_request: Mapping[str, str]) -> Iterator[str]:
         """Yield servers that got more requests than their advertised limit allows."""
         for limit in self._limits:
-            if not self._is_undisturbed(limit.process, limit.started_at - 1.0, limit.ended_at):
+            if not self.is_undisturbed(limit.process, limit.started_at - 1.0, limit.ended_at):
                 continue
             times = [
                 row["at"]
@@ -174,11 +172,12 @@
     def _is_checked(self, gateway: str, limit: AdvertisedLimit, at: float) -> bool:
         sources = (gateway, limit.target_id)
         return all(
-            self._is_undisturbed(name, at - SETTLING_TIME_S, at + SETTLING_TIME_S)
+            self.is_undisturbed(name, at - SETTLING_TIME_S, at + SETTLING_TIME_S)
             for name in sources
         )
 
-    def _is_undisturbed(self, name: str, begin: float, end: float) -> bool:
+    def is_undisturbed(self, name: str, begin: float, end: float) -> bool:
+        """Return whether no fault of a process or network path ended between two Unix times."""
         return not any(begin <= at <= end for at in self._fault_ends.get(name, ()))
 
 
--- a/tools/soakparts.py
+++ b/tools/soakparts.py
@@ -13,7 +13,7 @@
 from standins.loopproxy import LoopProxy
 from standins.ports import free_port
 
-__all__ = ["Caller", "CallResult", "SoakDeployment", "call_store"]
+__all__ = ["Caller", "CallResult", "SoakDeployment", "call_store", "item_id_of"]
 
 HOST = "127.0.0.1"
 REGION_BY_ZONE = {"a-1": "a", "a-2": "a", "b-1": "b"}
@@ -21,9 +21,11 @@
 FIRST_HOST = 10
 """Last byte of the first gateway's IP address: faults may depend on which gateway connects."""
 MAX_ATTEMPT_S = 3.0
+TIMEOUT_S = 2.0
+"""Time that a caller waits for its answer."""
 MAX_STORE_CALL_S = 2.0
 ONCE, REPEAT = "once", "again"
-RUN, ARRIVAL, BACKOFF = "run", "arrival", "rest"
+RUN, ARRIVAL, BACKOFF, CRASH = "run", "arrival", "rest", "crash"
 """Kinds of the lines in a target's ledger."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses with which a gateway guarantees that a once-only request was not run."""
@@ -31,7 +33,13 @@
 
 @dataclass
 class CallResult:
-    """The result of one request as its caller observed it; times are Unix times in seconds."""
+    """The result of one request as its caller observed it; times are Unix times in seconds.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Seconds that its caller waits.
+    """
 
     request_id: str
     path: str
@@ -42,6 +50,7 @@
     status: int = 0
     complete: bool = False
     truncated: bool = False
+    timeout_s: float = TIMEOUT_S
 
 
 @dataclass
@@ -114,6 +123,14 @@
         }
         return self._write(f"{process}.json", settings)
 
+    def process_of(self, item_id: str) -> str:
+        """Return the process that serves a target."""
+        return next(
+            process
+            for process, items in self.targets_by_process.items()
+            if any(item["id"] == item_id for item in items)
+        )
+
     def runs(self) -> dict[str, list[dict[str, Any]]]:
         """Return the runs in the ledgers of all target processes, by request id."""
         by_id: dict[str, list[dict[str, Any]]] = defaultdict(list)
@@ -133,7 +150,7 @@
             for item in items
             if item["service"] == service
         }
-        rows = [row for row in self.rows(ARRIVAL) if _item_id(row["target"]) in targets]
+        rows = [row for row in self.rows(ARRIVAL) if item_id_of(row["target"]) in targets]
         return sorted(rows, key=itemgetter("at"))
 
     def backoffs(self, target_id: str) -> list[dict[str, Any]]:
@@ -163,7 +180,7 @@
         return str(path)
 
 
-def _item_id(target_id: str) -> str:
+def item_id_of(target_id: str) -> str:
     """Return the id of a target in the settings; each start after a crash adds a number to it."""
     return target_id.partition(".")[0]
 
@@ -244,7 +261,7 @@
         method = "POST" if once else "GET"
         writer.write(
             f"{method} {path} HTTP/1.1\r\nHost: quay.example\r\nX-Request-Id: {request_id}\r\n"
-            f"X-Affinity-Key: {self._count % 17}\r\nX-Deadline-Ms: 2000\r\n"
+            f"X-Affinity-Key: {self._count % 17}\r\nX-Deadline-Ms: {TIMEOUT_S * 1000:.0f}\r\n"
             f"Content-Length: 0\r\n\r\n".encode()
         )
         try:
