Count attempts that wait for their connections when a request is hedged

A request could run at one server more than its route allows: a retry waits for its connection, is overdue, and a hedge is sent beside it. Only what was sent counted. Now an attempt that has not been sent counts as well, until it fails. The test failed before: two attempts ran where one was left.

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -216,7 +216,8 @@
         self._hedge(now)
 
     def _hedge(self, now: float) -> None:
-        if len(self._active) > 1:
+        unsent = sum(not outgoing.was_sent for outgoing in self._active)
+        if len(self._active) > 1 or self.work.sent + unsent >= self.work.route.attempts:
             return
         second = self._services.steering.hedge(self.work, now)
         if second is not None:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -137,6 +137,17 @@
 
         self.run_request([bare, answers], check)
 
+    def test_an_attempt_that_waits_for_its_connection_counts(self) -> None:
+        """Guards against more servers than allowed, as a hedge is sent beside a waiting retry."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            self.assertEqual([False], [outgoing.was_sent for outgoing in exchange._active])
+            exchange.work.sent = exchange.work.route.attempts - 1
+            exchange._hedge(the_reactor().seconds())
+            self.assertEqual(1, len(exchange._active))
+
+        self.run_request([answers, answers], check)
+
     def test_a_hedged_request_is_answered_once(self) -> None:
         """Guards against a retry after the slower of two attempts is abandoned.
 
