Count the attempts of a request over all entries that work on it

An entry that reaches no server passes a request on, and hedges it at a second entry. The attempts were counted by each entry for itself. Now the entry that passes a request on allots the other one its attempts, and keeps one for a hedge or a retry; what the other entry can't retry for want of attempts, it retries itself.

--- a/briarspur/gateway/dialect.py
+++ b/briarspur/gateway/dialect.py
@@ -48,8 +48,15 @@
         headers: Headers,
         body: bytes,
         remaining_ms: int,
+        attempts: int,
     ) -> bytes:
-        """Return a request as it is passed on to another entry."""
+        """Return a request as it is passed on to another entry.
+
+        Parameters
+        ----------
+        attempts : int
+            Servers to which that entry may send it.
+        """
 
     def refusal(self, head: AnswerHead) -> Refused | None:
         """Return the refusal of another entry; None if the response is a server's."""
--- a/briarspur/gateway/entrydestination.py
+++ b/briarspur/gateway/entrydestination.py
@@ -16,12 +16,15 @@
     ----------
     refused : Refused or None
         The refusal that the other entry generated instead of a server's response.
+    allotted : int
+        Servers to which the other entry may send the request.
     """
 
     def __init__(self, services: Services, attempt: ForwardAttempt) -> None:
         self._services = services
         self.attempt = attempt
         self.refused: Refused | None = None
+        self.allotted = 0
 
     @property
     def address(self) -> tuple[str, int]:
@@ -51,6 +54,15 @@
         """Return whether the entry may still get the request, which it may always."""
         return True
 
+    def allot_attempts(self) -> int:
+        """Return the attempts of the other entry: all that are left but one.
+
+        One is kept for a hedge, or for a retry if the other entry is lost.
+        """
+        work = self.attempt.work
+        self.allotted = max(1, work.attempts - work.sent - 1)
+        return self.allotted
+
     def encode(self, request: IncomingRequest, remaining_ms: int) -> bytes:
         """Return the request for an entry."""
         return self._services.dialect.forwarded_bytes(
@@ -59,6 +71,7 @@
             request.headers,
             request.body,
             remaining_ms,
+            self.allotted,
         )
 
     def head_received(self, head: AnswerHead) -> None:
@@ -66,8 +79,7 @@
         self.refused = self._services.dialect.refusal(head)
 
     def outcome(self, head: AnswerHead) -> Outcome:
-        """Return the outcome; a server's failure is final, as the other entry has retried it."""
+        """Return the outcome that the server or the other entry states."""
         if self.refused is not None:
             return Outcome.REJECTED
-        outcome = self._services.dialect.outcome(head)
-        return Outcome.ANSWERED if outcome is Outcome.SERVER_ERROR else outcome
+        return self._services.dialect.outcome(head)
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -21,6 +21,13 @@
 retried; a longer one is streamed. 100 buffered responses take 26 MB of a process's 300 MB."""
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
+RETRIED_REFUSALS = {
+    Code.ATTEMPTS_SPENT: Outcome.REJECTED,
+    Code.RETRY_BUDGET_SPENT: Outcome.REJECTED,
+    Code.CONNECTION_LOST: Outcome.LOST,
+    Code.ANSWER_CUT_SHORT: Outcome.INVALID,
+}
+"""How an attempt at a server ended for which another entry had no retry left."""
 
 
 class Caller(Protocol):
@@ -166,7 +173,7 @@
             # The other attempt may still succeed.
             return
         if isinstance(destination, EntryDestination) and destination.refused is not None:
-            self._forward_refused(destination.refused, now)
+            self._forward_refused(destination, destination.refused, now)
             return
         self._retry(outgoing, outcome, detail, now)
 
@@ -184,16 +191,19 @@
         else:
             self._refuse(Refused(_failure_code(self.work, outcome), detail=detail))
 
-    def _forward_refused(self, refused: Refused, now: float) -> None:
-        """Deliver the refusal of another entry, or try a third one if it can't serve at all."""
-        if refused.code is not Code.NOT_READY:
-            self._refuse(refused)
-            return
-        step = self._services.steering.next_attempt(self.work, now)
-        if isinstance(step, Refused):
-            self._refuse(refused)
+    def _forward_refused(self, destination: EntryDestination, refused: Refused, now: float) -> None:
+        """Deliver the refusal of another entry, or try a third one if attempts are left."""
+        steering = self._services.steering
+        step: Attempt | ForwardAttempt | Refused | None = None
+        if refused.code is Code.NOT_READY:
+            self.work.sent -= destination.allotted
+            step = steering.next_attempt(self.work, now)
+        elif refused.code in RETRIED_REFUSALS:
+            step = steering.retry(self.work, RETRIED_REFUSALS[refused.code], now)
+        if isinstance(step, (Attempt, ForwardAttempt)):
+            self._start_attempt(step, refused.code.name.lower().replace("_", " "))
         else:
-            self._start_attempt(step, "not ready")
+            self._refuse(refused)
 
     def _start_attempt(self, attempt: Attempt | ForwardAttempt, why: str) -> None:
         destination: Destination
@@ -217,7 +227,7 @@
 
     def _hedge(self, now: float) -> None:
         unsent = sum(not outgoing.was_sent for outgoing in self._active)
-        if len(self._active) > 1 or self.work.sent + unsent >= self.work.route.attempts:
+        if len(self._active) > 1 or self.work.sent + unsent >= self.work.attempts:
             return
         second = self._services.steering.hedge(self.work, now)
         if second is not None:
--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -56,6 +56,9 @@
     def accepts(self, now: float) -> bool:
         """Return whether the request may still be sent, once the connection is made."""
 
+    def allot_attempts(self) -> int:
+        """Return to how many servers this attempt may send the request; called as it is sent."""
+
     def encode(self, request: IncomingRequest, remaining_ms: int) -> bytes:
         """Return the request as it is sent."""
 
@@ -159,7 +162,7 @@
             services.pool.connection_idle(connection)
             self._end(Outcome.NOT_SENT, "deadline")
             return
-        work.sent += 1
+        work.sent += self.destination.allot_attempts()
         self.was_sent = True
         self._connection = connection
         request = self._owner.request
--- a/briarspur/gateway/serverdestination.py
+++ b/briarspur/gateway/serverdestination.py
@@ -54,6 +54,10 @@
         # later than is guaranteed to the operators.
         return self._services.steering.may_still_send(self.attempt, now)
 
+    def allot_attempts(self) -> int:
+        """Return 1, as the request is sent to this server alone."""
+        return 1
+
     def encode(self, request: IncomingRequest, remaining_ms: int) -> bytes:
         """Return the request for this server alone."""
         customer = self.attempt.work.customer
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -171,6 +171,7 @@
             arrived=now,
             deadline=now + time_budget,
             version=configuration.version,
+            attempts=_attempts(route, arrival, is_forwarded),
             size=arrival.size,
             customer=customer,
             regions=allowed.regions,
@@ -240,7 +241,7 @@
 
     def hedge(self, work: Work, now: float) -> Attempt | ForwardAttempt | None:
         """Choose a second server for a request whose first attempt is overdue."""
-        if not work.route.repeatable or work.hedged or work.sent >= work.route.attempts:
+        if not work.route.repeatable or work.hedged or work.sent >= work.attempts:
             return None
         if self.suspects.is_suspected(work.content):
             return None
@@ -361,7 +362,7 @@
 
     def _may_try_server(self, work: Work, now: float) -> bool:
         """Return whether to send a request to a server, too, to find out whether it answers."""
-        if not work.route.repeatable or work.tried or work.helpers:
+        if not work.route.repeatable or work.attempts < 2 or work.tried or work.helpers:
             return False
         return self.reachability.begin_trial(now)
 
@@ -397,7 +398,7 @@
 
     def _spend_retry(self, work: Work, now: float) -> Refused | None:
         """Take one retry from the budget; return the refusal if it is not allowed."""
-        if work.sent >= work.route.attempts:
+        if work.sent >= work.attempts:
             return Refused(Code.ATTEMPTS_SPENT, self._retry_after(work, now))
         if not self._take_retry(work, now):
             usage = self.retry_budgets.usage(work.service, now)
@@ -530,3 +531,10 @@
         turns = WeightedRoundRobin(route.parts)
         self._turns_by_route[route.name] = (route, turns)
         return turns
+
+
+def _attempts(route: Route, arrival: Arrival, is_forwarded: bool) -> int:
+    """Return to how many servers this entry may send a request."""
+    if not is_forwarded or arrival.attempts is None:
+        return route.attempts
+    return min(route.attempts, arrival.attempts)
--- a/briarspur/gateway/work.py
+++ b/briarspur/gateway/work.py
@@ -75,6 +75,8 @@
         Digest of the request's API key; None if it has none.
     content : RequestContent, optional
         Identifies the request among those that are sent again.
+    attempts : int or None
+        Servers to which the entry that passed it on lets it be sent; None if that is not stated.
     """
 
     request_id: str
@@ -85,6 +87,7 @@
     size: int = 0
     key_digest: bytes | None = field(default=None, repr=False)
     content: RequestContent | None = field(default=None, repr=False)
+    attempts: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,10 @@
     regions : frozenset of str or None
         Regions that both its route and its customer allow, empty if any region is allowed; None if
         they have no region in common.
+    attempts : int
+        Servers to which it may be sent.
+    sent : int
+        Servers to which it was sent, or may have been sent by other entries.
     unanswered : int
         Attempts that have not ended.
     arrived_by : float
@@ -128,6 +135,7 @@
     arrived: float
     deadline: float
     version: int
+    attempts: int
     size: int = 0
     customer: Customer | None = None
     regions: frozenset[str] | None = frozenset()
--- a/briarspur/headers.py
+++ b/briarspur/headers.py
@@ -5,6 +5,7 @@
 from twisted.web.http_headers import Headers
 
 __all__ = [
+    "ATTEMPTS",
     "BLOCK",
     "CODE",
     "DEADLINE_MS",
@@ -40,6 +41,8 @@
 DEADLINE_MS = b"Briarspur-Deadline-Ms"
 BLOCK = b"Briarspur-Block"
 DISPATCH_ONLY = b"Briarspur-Dispatch-Only"
+ATTEMPTS = b"Briarspur-Attempts"
+"""Number of backend servers to which the entry that gets a request may send it."""
 
 BRIARSPUR_PREFIX = b"briarspur-"
 HOP_BY_HOP = frozenset(
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -11,6 +11,7 @@
 from briarspur.gateway.servernotice import ServerNotice
 from briarspur.gateway.work import Arrival, Refused
 from briarspur.headers import (
+    ATTEMPTS,
     CODE,
     HOP_BY_HOP,
     RETRY_AFTER,
@@ -33,6 +34,7 @@
         names.API_KEY.lower(),
         names.CUSTOMER.lower(),
         SOURCE_ADDRESS.lower(),
+        ATTEMPTS.lower(),
         b"content-length",
         b"expect",
     }
@@ -54,6 +56,7 @@
             timeout=_timeout(last_value(headers, names.DEADLINE_MS)),
             size=size,
             key_digest=_key_digest(headers),
+            attempts=_attempts(last_value(headers, ATTEMPTS)),
         )
 
     def request_bytes(
@@ -82,9 +85,10 @@
         headers: Headers,
         body: bytes,
         remaining_ms: int,
+        attempts: int,
     ) -> bytes:
         """Return a request, encoded to be passed on to another entry with its API key."""
-        added = [(names.DEADLINE_MS, b"%d" % remaining_ms)]
+        added = [(names.DEADLINE_MS, b"%d" % remaining_ms), (ATTEMPTS, b"%d" % attempts)]
         return _encode(method, uri, headers, SET_BY_GATEWAY - {names.API_KEY.lower()}, added, body)
 
     def refusal(self, head: AnswerHead) -> Refused | None:
@@ -165,6 +169,10 @@
     return key_digest(keys.pop()) if len(keys) == 1 else None
 
 
+def _attempts(value: bytes | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() and int(value) > 0 else None
+
+
 def _timeout(value: bytes | None) -> float:
     if value is None:
         return math.inf
