Close a server's connection when its caller leaves in a long response

A caller that disconnected while a long response was passed on left everything open: the server worked on, and the gateway kept what it received, up to its memory's limit. The exchange took the abandoned attempt for the end of the response and aborted the caller's connection, which Twisted had dropped: AttributeError. The attempt's connection was to be closed after that. Now nothing is done at a connection that is gone, and an attempt closes its connection before it reports its end. What a once-only request still receives for such a caller is discarded.

--- a/briarspur/callerrequest.py
+++ b/briarspur/callerrequest.py
@@ -75,6 +75,8 @@
 
     def change_flow(self, flow: Flow) -> None:
         """Pause another flow from now on, which delivers the rest of the body."""
+        if self._disconnected:
+            return
         paused = cast(FlowProducer, self.producer).paused
         self.unregisterProducer()
         self.registerProducer(FlowProducer(flow, paused), True)
@@ -108,10 +110,11 @@
         complete; after a reset, it never does.
         """
         self._handled_id = None
+        if self._disconnected:
+            return
         if self.producer is not None:
             self.unregisterProducer()
-        if not self._disconnected:
-            cast(CallerChannel, self.channel).abort()
+        cast(CallerChannel, self.channel).abort()
 
     def build_raw(self) -> RawRequest | None:
         """Return the request as received; None if the sender's address is not an IP address."""
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -101,8 +101,12 @@
         if self.done:
             return
         self._decided = True
+        self._streaming = None
         if self.work.route.repeatable:
             self._abandon_all(Outcome.ABANDONED)
+        for outgoing in self._active:
+            # The caller may have paused it.
+            outgoing.resume()
         self._finish(Code.CALLER_GONE, 0)
         if self._active:
             clock = self._services.clock
@@ -146,6 +150,7 @@
     def body_received(self, outgoing: OutgoingRequest) -> None:
         """Forward the next chunk, or start streaming a response that exceeds the buffer."""
         if self.done:
+            outgoing.pop_body()
             return
         if self._streaming is outgoing:
             self._caller.write(outgoing.pop_body())
--- a/briarspur/gateway/frontend.py
+++ b/briarspur/gateway/frontend.py
@@ -180,10 +180,11 @@
     def abort(self) -> None:
         """Reset the connection."""
         self._exchange = None
+        if self._disconnected:
+            return
         if self.producer is not None:
             self.unregisterProducer()
-        if not self._disconnected:
-            cast(CallerChannel, self.channel).abort()
+        cast(CallerChannel, self.channel).abort()
 
     def _announce_close(self) -> None:
         """Add ``Connection: close`` to the last response before the connection closes."""
--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -114,9 +114,9 @@
         if self._pending_connection is not None:
             self._pending_connection.cancel()
         connection, self._connection = self._connection, None
-        self._end(outcome, "")
         if connection is not None:
             connection.abort()
+        self._end(outcome, "")
 
     def pop_body(self) -> bytes:
         """Return the part of the body received since the last call."""
