Bound the heads of servers' responses by their size

A server whose bytes never end, in a header line, header lines, interim responses or garbage, was read until the request's deadline, at megabytes a second; its caller waited, or got the response of a hedge. A head of more than 64 KiB, or a line of more than 16 KiB, now fails at once: the connection is closed, the server counts as failed, and a request that may be repeated is sent to another one. Chunk sizes, extensions and trailers were bounded already; the test covers them.

The test failed before for garbage, a header line, header lines and interim responses: no response within 0.5 s.

--- a/briarspur/gateway/connection.py
+++ b/briarspur/gateway/connection.py
@@ -17,6 +17,9 @@
 __all__ = ["ConnectionOwner", "ExpectedResponse", "ResponseSink", "TargetConnection"]
 
 HEAD_METHOD = b"HEAD"
+MAX_HEAD_BYTES = 65_536
+"""Largest size of a response's head, interim responses included. A head without end would be read
+until the request's deadline."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +189,7 @@
             self._parser = self._new_parser()
             return
         sink, self._sink, self._parser = self._sink, None, None
-        if parser.closes_connection or has_extra_bytes:
+        if sink is None or parser.closes_connection or has_extra_bytes:
             self._transport.abortConnection()
         else:
             # The last chunk may have filled the buffers of a slow caller, whose flow then paused
@@ -246,6 +249,7 @@
         self.done = False
         self.remaining = b""
         self._head_delivered = False
+        self._head_bytes = 0
 
     @property
     def closes_connection(self) -> bool:
@@ -266,6 +270,17 @@
             and not self.connHeaders.hasHeader(b"transfer-encoding")
         )
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse a chunk; raise an error if the head is too long."""
+        self._head_bytes += len(data)
+        super().dataReceived(data)
+        if not self._head_delivered and self._head_bytes > MAX_HEAD_BYTES:
+            raise ValueError("the head is too long")
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Raise an error: by default, the line would be dropped and the rest parsed."""
+        raise ValueError("a line is too long")
+
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Deliver the headers before the body, unless the response is another request's."""
         status = self.response.code
