Bound the bodies of failures and rejections

A server that fails or rejects a request with a body that never ends was read until the deadline, all of it kept in memory, since it may be delivered if no retry is left. Beyond 256 KiB the response counts as truncated and the connection is closed; a rejection is still one. The test failed before for both: no response within 0.5 s.

--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -12,6 +12,9 @@
 
 __all__ = ["Destination", "OutgoingRequest", "RequestOwner"]
 
+MAX_FAILURE_BYTES = 262_144
+"""Largest body of a failure or rejection, which is buffered, as it may be followed by a retry."""
+
 
 class RequestOwner(Protocol):
     """The exchange that an outgoing request belongs to, which is notified of its progress."""
@@ -185,11 +188,16 @@
             self._owner.headers_received(self, head)
 
     def data_received(self, data: bytes) -> None:
-        """Buffer a chunk of the body."""
+        """Buffer a chunk of the body, up to a limit if the response is a failure."""
         self._chunks.append(data)
         self.buffered_bytes += len(data)
         if self.head is not None and self.destination.outcome(self.head) is Outcome.ANSWERED:
             self._owner.body_received(self)
+        elif self.buffered_bytes > MAX_FAILURE_BYTES:
+            connection, self._connection = self._connection, None
+            if connection is not None:
+                connection.abort()
+            self.response_failed("the body of a failure is too long")
 
     def response_complete(self) -> None:
         """End the attempt with the outcome of the complete response."""
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -26,6 +26,8 @@
 
 
 STATUS = b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+FAILURE = b"HTTP/1.1 500 Oops\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+REJECTION = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
 SCRIPTS = {
     "garbage": repeats(b"", PIECE),
@@ -36,6 +38,8 @@
     "a chunk size": repeats(CHUNKED, b"0" * 4_096),
     "a chunk extension": repeats(CHUNKED + b"5;", PIECE),
     "trailers": repeats(CHUNKED + b"0\r\n", b"X-More: more\r\n" * 100),
+    "the body of a failure": repeats(FAILURE, b"1000\r\n" + PIECE + b"\r\n"),
+    "the body of a rejection": repeats(REJECTION, b"1000\r\n" + PIECE + b"\r\n"),
 }
 
 
