Log and count exceptions that no callback handled

The exception that kept servers' connections open was only a traceback in plain text, which no check reads. Exceptions that Twisted or asyncio catch as the last are one event each now, with the place where they were raised, and a metric. The fault soak reports any as a finding.

--- a/briarspur/daemon.py
+++ b/briarspur/daemon.py
@@ -12,6 +12,7 @@
 from briarspur.documents import load_settings
 from briarspur.errors import SettingsError
 from briarspur.processsettings import LoggedSettings
+from briarspur.unhandled import errors
 
 __all__ = ["EXIT_FAILED", "EXIT_OK", "EXIT_SETTINGS", "Daemon", "run", "run_file"]
 
@@ -94,6 +95,7 @@
     from twisted.internet import reactor as installed_reactor
 
     reactor = cast(asyncioreactor.AsyncioSelectorReactor, installed_reactor)
+    errors.watch(loop)
     serve_task = loop.create_task(_serve(name, build))
     serve_task.add_done_callback(lambda _: reactor.stop())
     # The reactor's own signal handlers would stop it immediately; those that _serve installs let
--- a/briarspur/gateway/exposition.py
+++ b/briarspur/gateway/exposition.py
@@ -43,6 +43,7 @@
     ),
     "quota_refusals_total": "counter by customer: requests beyond the customer's quota",
     "news_malformed_total": "counter: datagrams that were not news",
+    "unhandled_errors_total": "counter: exceptions that no callback handled",
     "log_lines_dropped_total": "counter: log lines dropped because they were not read in time",
 }
 """Every metric of the page with its type and meaning; ``docs/METRICS.md`` lists them."""
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from briarspur.gateway.exposition import Exposition
+from briarspur.unhandled import errors
 
 if TYPE_CHECKING:
     from briarspur.gateway.app import Gateway
@@ -39,6 +40,7 @@
     for name, count in gateway.steering.quotas.refusals_by_name.most_common(MAX_CUSTOMERS):
         page.value("quota_refusals_total", count, customer=name)
     page.value("news_malformed_total", gateway.news_port.malformed)
+    page.value("unhandled_errors_total", errors.count)
     return page.text()
 
 
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -114,6 +114,7 @@
     "log-lines-dropped": "lines were dropped since the reader of the log did not keep up; how many",
     "invariant-violated": "an invariant was violated",
     "internal-error": "an internal error of briarspur",
+    "unhandled-error": "an exception that no callback handled, and where it was raised",
 }
 """All event names with their meanings, listed in ``docs/LOG-EVENTS.md``."""
 
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -16,7 +16,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -457,6 +457,7 @@
             self._check_drain(request_id, rows)
         self.findings.extend(self._notices.check(self.results))
         self.findings.extend(self.retries.check([*self.results, *self.crashes.results]))
+        self.findings.extend(self._unhandled_errors())
         self.findings.extend(self.attempts.check([*self.results, *self.crashes.results]))
         self.findings.extend(self.crashes.check())
         self.findings.extend(self.cuts.check(self.results))
@@ -473,6 +474,14 @@
         if answered * 2 < len(usual):
             self.findings.append(f"only {answered} of {len(usual)} requests were answered")
 
+    def _unhandled_errors(self) -> Iterator[str]:
+        """Yield the exceptions that no callback of a gateway handled."""
+        for name in self.deployment.gateways:
+            log = self._launcher.log(name)
+            for line in log.read_text(errors="replace").splitlines() if log.exists() else ():
+                if "event=unhandled-error" in line:
+                    yield f"{name}: {line}"
+
     def _had_no_server_fault(self, target: str, begin: float, end: float) -> bool:
         """Return whether a server, its process and the path to it had no fault."""
         item_id = item_id_of(target)
