Test further signals during a stop, and attempts of requests that are passed on

Further SIGTERMs and a SIGHUP while uploads are received change nothing; requests of a cut-off entry beside slow servers that lose responses keep their attempts and time.

--- a/tests/gateway/test_stop.py
+++ b/tests/gateway/test_stop.py
@@ -17,6 +17,8 @@
 """When the bodies of uploads end, after the signal; no exchange is open for most of the time."""
 NEVER = 60.0
 PATIENCE_MS = 8_000
+FURTHER_SIGNALS = ((signal.SIGTERM, 0.3), (signal.SIGHUP, 0.9), (signal.SIGTERM, 3.03))
+"""Signals after the first SIGTERM, and seconds from it."""
 
 
 @dataclass
@@ -35,6 +37,8 @@
 class StopRun(FaultSoak):
     """A run that stops its only gateway while callers upload."""
 
+    further_signals: tuple[tuple[signal.Signals, float], ...] = ()
+
     def __init__(self, folder: Path, ends_after: tuple[float, ...]) -> None:
         super().__init__(1, 0.0, 1, folder, callers=0)
         self.uploads = [Upload(seconds) for seconds in ends_after]
@@ -46,6 +50,9 @@
         tasks = [asyncio.ensure_future(self._send(u, signalled_at)) for u in self.uploads]
         await asyncio.sleep(signalled_at - time.monotonic())
         self._launcher.signal("g0", signal.SIGTERM)
+        for number, after in self.further_signals:
+            await asyncio.sleep(signalled_at + after - time.monotonic())
+            self._launcher.signal("g0", number)
         while self._launcher.is_alive("g0"):
             await asyncio.sleep(0.02)
         self.stopped_after = time.monotonic() - signalled_at
@@ -75,9 +82,14 @@
 class StopTest(unittest.TestCase):
     """From SIGTERM until the process ends."""
 
-    def stop(self, ends_after: tuple[float, ...]) -> StopRun:
+    def stop(
+        self,
+        ends_after: tuple[float, ...],
+        further_signals: tuple[tuple[signal.Signals, float], ...] = (),
+    ) -> StopRun:
         with tempfile.TemporaryDirectory() as folder:
             run = StopRun(Path(folder), ends_after)
+            run.further_signals = further_signals
             asyncio.run(run.run())
             self.runs = run.deployment.runs()
         self.assertEqual(0, run.exit_code)
@@ -89,6 +101,11 @@
         uploads = self.stop(ENDS_AFTER_S).uploads
         self.assertEqual([200] * len(uploads), [upload.status for upload in uploads])
 
+    def test_further_signals_do_not_shorten_the_stop(self) -> None:
+        """Guards against a second signal that ends a process which still serves its callers."""
+        uploads = self.stop(ENDS_AFTER_S, FURTHER_SIGNALS).uploads
+        self.assertEqual([200] * len(uploads), [upload.status for upload in uploads])
+
     def test_an_upload_that_does_not_end_in_time_is_refused_and_not_run(self) -> None:
         """Guards against connections that close without a response as the process ends."""
         upload = self.stop((NEVER,)).uploads[0]
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -13,7 +13,7 @@
 from tools.soakcuts import REFUSED, SILENT, PinnedCaller
 from tools.soaknotices import AdvertisedLeaving, AdvertisedLimit
 from tools.soakparts import CallResult
-from tools.soakretries import ERROR, RetryBound, RetryFaults
+from tools.soakretries import ERROR, LOST, RetryBound, RetryFaults
 
 REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
     (1, "the short run for CI; it has had no findings so far"),
@@ -27,6 +27,7 @@
 CUT_S = 9.0
 CUT_DURATION_S = 18.0
 CUT_CALLERS = 40
+SLOW_WORK_S = 0.35
 
 
 class StoreReturnSoak(FaultSoak):
@@ -98,6 +99,26 @@
         await asyncio.sleep(max(0.0, until - time.time()))
 
 
+class PassedOnSoak(CutSoak):
+    """A run in which all callers use a cut-off gateway, and servers are slow and lose responses."""
+
+    route_attempts = 2
+    count = 1
+
+    def make_caller(self, number: int) -> PinnedCaller:
+        """Return a caller that keeps to the gateway that is cut off."""
+        caller = super().make_caller(number)
+        caller.gateway = "g0"
+        return caller
+
+    async def _inject_faults(self, until: float) -> None:
+        for process, items in self.deployment.targets_by_process.items():
+            for item in items:
+                item["work_s"] = SLOW_WORK_S
+            self.retries.set_failures(process, LOST, 0.2)
+        await super()._inject_faults(until)
+
+
 class FakeLauncher:
     """A launcher whose only process ends some time after each signal."""
 
@@ -173,6 +194,14 @@
                 late = [r for r in soak.results if r.sent > healed]
                 self.assertGreater(sum(r.status == 200 for r in late), 0.95 * len(late))
 
+    def test_requests_that_are_passed_on_keep_their_attempts_and_time(self) -> None:
+        """Guards against attempts, or time, that each of two entries counts for itself."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = PassedOnSoak(1, CUT_DURATION_S, 4, Path(folder), callers=8, target_processes=3)
+            asyncio.run(soak.run())
+            self.assertEqual([], list(soak.attempts.check(soak.results)))
+            self.assertEqual([], list(soak._unhandled_errors()))
+
     def test_overlapping_faults_of_one_gateway_all_end(self) -> None:
         """Guards against a run that hangs as a fault waits for the restarted gateway to end."""
 
