--- a/tests/gateway/spreading.py
+++ b/tests/gateway/spreading.py
@@ -91,6 +91,7 @@
         self.following.syncs = self.syncs
         self.departure_received_at: dict[str, float] = {}
         self.configuration_received_at: dict[int, float] = {}
+        self.evacuation_received_at: dict[str, float] = {}
         self.changes: list[tuple[Kind, StoredChange]] = []
         self._channels: dict[str, Connections] = {}
 
@@ -153,6 +154,8 @@
                 self.departure_received_at.setdefault(change.name, now)
             if kind is Kind.CONFIGURATION and change.value is not None:
                 self.configuration_received_at.setdefault(change.value["version"], now)
+            if kind is Kind.EVACUATIONS and change.value is not None:
+                self.evacuation_received_at.setdefault(change.name, now)
 
 
 class World:
@@ -248,6 +251,21 @@
             if version in entry.configuration_received_at
         }
 
+    async def evacuation_delays(self, zone: str, within: float) -> dict[str, float]:
+        """Evacuate a zone; return the seconds until each entry received that.
+
+        Entries that do not receive it ``within`` seconds are not in the result.
+        """
+        loop = asyncio.get_running_loop()
+        self.store.put(Kind.EVACUATIONS, zone, {})
+        acknowledged_at = loop.time()
+        await asyncio.sleep(within)
+        return {
+            entry_id: entry.evacuation_received_at[zone] - acknowledged_at
+            for entry_id, entry in self.by_id.items()
+            if zone in entry.evacuation_received_at
+        }
+
     async def restore_store(self, away: float, age: float, rewritten_after: float = 0.0) -> None:
         """Let the store be away, and come back from a copy that is ``age`` seconds old.
 
