Let callers leave in long responses in the fault soak

Callers disconnect after some of a response of 3 MB; at the end no gateway may have open requests, or use more memory than the smallest VMs have.

--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -193,7 +193,9 @@
             **self._notices(),
         }
         status = 500 if self._rng.random() < self.error_share else 200
-        _answer(request, status, headers, b"body of %b by %b" % (request_id, self.service.encode()))
+        body = b"body of %b by %b" % (request_id, self.service.encode())
+        padding = b"." * int(request.args.get(b"bytes", [b"0"])[0])
+        _answer(request, status, headers, body + padding)
         self._start_queued()
 
     def _disconnected(self, _: object, request: Request) -> None:
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -99,6 +99,14 @@
         await asyncio.sleep(max(0.0, until - time.time()))
 
 
+class LeaveSoak(FaultSoak):
+    """A run in which callers disconnect in the middle of long responses."""
+
+    async def _inject_faults(self, until: float) -> None:
+        while time.time() < until:
+            await self.leaving.leave()
+
+
 class PassedOnSoak(CutSoak):
     """A run in which all callers use a cut-off gateway, and servers are slow and lose responses."""
 
@@ -194,6 +202,14 @@
                 late = [r for r in soak.results if r.sent > healed]
                 self.assertGreater(sum(r.status == 200 for r in late), 0.95 * len(late))
 
+    def test_callers_that_leave_leave_nothing_open(self) -> None:
+        """Guards against requests and memory that are held for callers which have gone."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = LeaveSoak(1, DURATION_S, 3, Path(folder))
+            asyncio.run(soak.run())
+            self.assertEqual([], soak.findings)
+            self.assertGreater(len(soak.leaving.results), 50)
+
     def test_requests_that_are_passed_on_keep_their_attempts_and_time(self) -> None:
         """Guards against attempts, or time, that each of two entries counts for itself."""
         with tempfile.TemporaryDirectory() as folder:
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -29,6 +29,7 @@
 from tools.soakattempts import AttemptChecks  # noqa: E402
 from tools.soakcrashes import CrashFaults  # noqa: E402
 from tools.soakcuts import CutFaults  # noqa: E402
+from tools.soakleavers import LeavingCallers  # noqa: E402
 from tools.soaknotices import NoticeFaults  # noqa: E402
 from tools.soakparts import (  # noqa: E402
     HOST,
@@ -109,6 +110,7 @@
         self.retries = RetryFaults(self._rng, self.deployment, self._launcher)
         self.crashes = CrashFaults(self._rng, self.deployment, self._launcher)
         self.cuts = CutFaults(self._rng, self.deployment)
+        self.leaving = LeavingCallers(self._rng, self.deployment, self._launcher)
         self.attempts = AttemptChecks(
             self.deployment, self.route_attempts, self._had_no_server_fault
         )
@@ -134,6 +136,7 @@
             await self._inject_faults(until - SETTLING_TIME_S)
             await asyncio.gather(*caller_tasks)
             await asyncio.sleep(1.0)
+            self.findings.extend([finding async for finding in self.leaving.check()])
             for proxy in self.deployment.proxies.values():
                 await proxy.__aexit__(None, None, None)
         self.check_results()
@@ -166,6 +169,7 @@
             self.retries.fail_requests,
             self.crashes.repeat_crashing_request,
             self._cut_gateways,
+            self.leaving.leave,
         ]
         fault_tasks: list[asyncio.Future[None]] = []
         while time.time() < until:
@@ -450,15 +454,16 @@
                 )
             if result.status == 404 and self._must_be_known(result):
                 self._add_finding("a route that must be in force is not known", result, result.path)
-        known = {result.request_id for result in [*self.results, *self.crashes.results]}
+        others = [*self.crashes.results, *self.leaving.results]
+        known = {result.request_id for result in [*self.results, *others]}
         for request_id, rows in runs.items():
             if request_id not in known:
                 self.findings.append(f"a run without a request of a caller: {request_id}")
             self._check_drain(request_id, rows)
         self.findings.extend(self._notices.check(self.results))
-        self.findings.extend(self.retries.check([*self.results, *self.crashes.results]))
+        self.findings.extend(self.retries.check([*self.results, *others]))
         self.findings.extend(self._unhandled_errors())
-        self.findings.extend(self.attempts.check([*self.results, *self.crashes.results]))
+        self.findings.extend(self.attempts.check([*self.results, *others]))
         self.findings.extend(self.crashes.check())
         self.findings.extend(self.cuts.check(self.results))
         # Where the servers of one process fail requests or crash while those of the other are down,
