Answer requests that wait behind one which is refused at once

On a connection of a stopped entry, further requests without bodies were still dropped if the one before them was refused without an attempt: they are in the line parser's buffer then, not in that for the data of further requests. Both count now. The test failed before: the refusal announced the close, and the request behind it got no response.

--- a/briarspur/channel.py
+++ b/briarspur/channel.py
@@ -155,7 +155,7 @@
         self.idle_since = self.factory.clock.seconds()
         self.release_body()
         if self.has_next_request:
-            self.receiving_since = self._received_at(sum(map(len, self._dataBuffer)))
+            self.receiving_since = self._received_at(self._unread)
         elif self.factory.closing:
             self.persistent = 0
         self._is_replaying = True
@@ -165,7 +165,13 @@
     @property
     def has_next_request(self) -> bool:
         """Whether some of a further request was received while one is handled."""
-        return bool(self.persistent) and any(self._dataBuffer)
+        return bool(self.persistent) and self._unread > 0
+
+    @property
+    def _unread(self) -> int:
+        """Number of bytes that were received after the request that is handled."""
+        # Those behind a request without a body are in the first buffer until it was handled.
+        return len(self._buffer) + sum(map(len, self._dataBuffer))
 
     def _received_at(self, unread: int) -> float:
         """Return when the first of the last ``unread`` bytes was received."""
--- a/tests/gateway/test_frontend.py
+++ b/tests/gateway/test_frontend.py
@@ -198,8 +198,11 @@
         self.assertEqual(1, len(self.handler.refused))
 
 
+REFUSED_URI = b"/refused"
+
+
 class AnsweringHandler(RecordingHandler):
-    """Accepts requests, which the test answers."""
+    """Accepts requests, which the test answers, but for one that is refused at once."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -207,7 +210,10 @@
 
     def handle(self, request: IncomingRequest, caller: FrontendRequest) -> None:
         super().handle(request, caller)
-        self.callers.append(caller)
+        if request.uri == REFUSED_URI:
+            caller.refuse(Refusal(Code.OVERLOADED))
+        else:
+            self.callers.append(caller)
 
     def answer_next(self) -> None:
         caller = self.callers.pop(0)
@@ -245,6 +251,20 @@
         self.assertEqual(1, self.transport.written.lower().count(b"connection: close"))
         self.assertEqual(1, len(self.closed_at))
 
+    def test_requests_behind_one_that_is_refused_at_once_are_answered(self) -> None:
+        """Guards against requests that are dropped as they are not in the expected buffer."""
+        head = b"GET %b HTTP/1.1\r\nHost: quay.example\r\n\r\n"
+        self.channel.dataReceived(b"".join(head % uri for uri in (b"/a", REFUSED_URI, b"/b")))
+        self.frontend.close_connections()
+        self.clock.advance(0.5)
+        self.handler.answer_next()
+        self.assertEqual(1, self.transport.written.count(b"HTTP/1.1 503"))
+        self.assertNotIn(b"connection: close", self.transport.written.lower())
+        self.handler.answer_next()
+        self.assertEqual(2, self.transport.written.count(b"HTTP/1.1 200"))
+        self.assertEqual(1, len(self.closed_at))
+        self.assertEqual([2.0, 1.5, 1.5], [r.remaining(2.0) for r in self.handler.handled])
+
     def test_a_connection_without_a_further_request_closes_after_its_response(self) -> None:
         self.send(1)
         self.frontend.close_connections()
