Let the launcher's test end where SIGINT is ignored

Started from a script's background job, the test waited for ever: the child inherits that SIGINT is ignored, so it never ended. The check is the same.

--- a/tests/standins/test_launcher.py
+++ b/tests/standins/test_launcher.py
@@ -69,4 +69,6 @@
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
             text=True,
+            # A shell ignores SIGINT for its background jobs, and their children inherit that.
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
         )
