Count and log further attempts by their reason

Nothing showed when an entry made further attempts, or why: the log has the state of a share when it is spent, and attempts are sampled. So repeated arrivals at servers couldn't be set against the retries that entries were granted, the hedges, and the attempts that are free since nothing was sent.

attempts_repeated_total by service and reason, and the line attempts-repeated once a second at most. Attempts that are decided on but refused in the same step aren't counted. The attempt after another entry's refusal goes through Steering, where it is counted as the others.

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -201,8 +201,7 @@
         steering = self._services.steering
         step: Attempt | ForwardAttempt | Refused | None = None
         if refused.code is Code.NOT_READY:
-            self.work.sent -= destination.allotted
-            step = steering.next_attempt(self.work, now)
+            step = steering.retry_unsent_forward(self.work, destination.allotted, now)
         elif refused.code in RETRIED_REFUSALS:
             step = steering.retry(self.work, RETRIED_REFUSALS[refused.code], now)
         if isinstance(step, (Attempt, ForwardAttempt)):
--- a/briarspur/gateway/exposition.py
+++ b/briarspur/gateway/exposition.py
@@ -11,6 +11,10 @@
 GATEWAY_METRICS: dict[str, str] = {
     "requests_total": "counter by code: final responses, by result code",
     "attempts_total": "counter by outcome: attempts at backend servers",
+    "attempts_repeated_total": (
+        "counter by service and reason: attempts after the first one of a request that failed,"
+        " was overdue (hedge), or wasn't sent (unsent, not charged to the retry budget)"
+    ),
     "answer_seconds": "histogram by route: from a request's arrival to its final response",
     "attempt_seconds": "histogram: from an attempt's start to its end",
     "open_requests": "gauge: requests without a final response yet",
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -69,6 +69,9 @@
         page.value("retries_unanswered", usage.unanswered, service=service)
         page.value("retries_allowed", usage.allowed, service=service)
     page.values("retry_refusals_total", "service", budgets.refusals_by_service)
+    for service, counts in sorted(gateway.steering.repeats.by_service.items()):
+        for reason, count in sorted(counts.items()):
+            page.value("attempts_repeated_total", count, service=service, reason=reason)
     page.value("retry_entries", budgets.entries.get(gateway.pool.seconds()))
 
 
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -20,6 +20,7 @@
 from briarspur.gateway.outcome import NOT_RUN, UNCONFIRMED, UNSENT, Outcome
 from briarspur.gateway.quotas import Quotas
 from briarspur.gateway.reachability import Reachability
+from briarspur.gateway.repeatcounts import RepeatCounts, RepeatReason
 from briarspur.gateway.retrybudgets import RetryBudgets
 from briarspur.gateway.serverlimits import ServerLimits
 from briarspur.gateway.servernotice import FROM_ANSWER, ReportedNotices, ServerNotice
@@ -94,6 +95,7 @@
         self.retry_budgets = RetryBudgets(
             entry_id, bounds.retry_ratio, bounds.retry_window, bounds.retry_slack
         )
+        self.repeats = RepeatCounts()
         self._chooser = Chooser(self.work_times, self.transit)
         self._turns_by_route: dict[str, tuple[Route, WeightedRoundRobin]] = {}
 
@@ -250,6 +252,7 @@
             return None
         attempt = self.next_attempt(work, now)
         if not isinstance(attempt, Refused):
+            self.repeats.record(work.service, RepeatReason.HEDGE, now)
             return attempt
         self._return_retry(work)
         return None
@@ -340,11 +343,29 @@
                 return refused if proven else None
         attempt = self.next_attempt(work, now)
         if not isinstance(attempt, Refused):
+            reason = RepeatReason.UNSENT if outcome in UNSENT else RepeatReason.FAILED
+            self.repeats.record(work.service, reason, now)
             return attempt
         if outcome not in UNSENT:
             self._return_retry(work)
         return attempt if proven else None
 
+    def retry_unsent_forward(
+        self, work: Work, allotted: int, now: float
+    ) -> Attempt | ForwardAttempt | Refused:
+        """Return the next attempt after another entry sent the request to no server.
+
+        Parameters
+        ----------
+        allotted : int
+            Attempts that the other entry was given and didn't use.
+        """
+        work.sent -= allotted
+        attempt = self.next_attempt(work, now)
+        if not isinstance(attempt, Refused):
+            self.repeats.record(work.service, RepeatReason.UNSENT, now)
+        return attempt
+
     def forward_ended(self, attempt: ForwardAttempt, outcome: Outcome, now: float) -> None:
         """Record the end of an attempt by way of another entry."""
         if attempt.ended:
--- a/briarspur/logs.py
+++ b/briarspur/logs.py
@@ -69,6 +69,9 @@
     "suspensions-not-written": "the record of suspended requests could not be written",
     "suspensions-read": "the record of suspended requests was read at the start; their number",
     "suspensions-written": "the record of suspended requests was written to the store",
+    "attempts-repeated": (
+        "attempts after the first one of their request since the line before, by service and reason"
+    ),
     "retry-budget-spent": (
         "a service's retry budget allowed no further retry; with the state of this entry's share"
     ),
