Failing tests: restarts while servers fail, and bursts, exceed the retry budget

The checks of the simulated fleet and of the fault soak compared windows that end at a repeat only; a window that begins at one can have fewer requests, and the second fault shows in these alone. Both compare them now, so the checks are stricter than before.

--- a/tests/gateway/retryfleet.py
+++ b/tests/gateway/retryfleet.py
@@ -137,21 +137,14 @@
 
     def worst_window(self) -> float:
         """Return the most repeated arrivals in a window, as a share of what is allowed."""
-        sent = [request.at for request in self.requests]
         seen: set[str] = set()
         repeats = []
         for at, request_id in sorted(self._arrivals):
             if request_id in seen:
                 repeats.append(at)
             seen.add(request_id)
-        window = self._bound.window
-        return max(
-            (
-                sum(end - window <= at <= end for at in repeats) / self._bound.allowed(sent, end)
-                for end in repeats
-            ),
-            default=0.0,
-        )
+        worst = self._bound.worst_window([request.at for request in self.requests], repeats)
+        return 0.0 if worst is None else worst[1] / worst[2]
 
     def counted_retries(self, now: float) -> int:
         """Return how many retries count in the budgets of all entries."""
--- a/tests/gateway/test_retry_restarts.py
+++ b/tests/gateway/test_retry_restarts.py
@@ -9,6 +9,9 @@
 
 SEEDS = (1, 2, 3)
 WARM_UP_S = 3.0
+LONG_WARM_UP_S = 12.0
+"""Longer than a window, so that the allowance of a whole one is unused."""
+BURST_S = 1.5
 SERIES_SEEDS = range(1, 9)
 SERIES_END_S = 30.0
 RECORDS_LOST_S = 3.0
@@ -34,6 +37,24 @@
         }
         self.assertLessEqual(max(worst.values()), 1.0, worst)
 
+    def test_a_restart_while_servers_fail_keeps_the_budget(self) -> None:
+        """Guards against processes that forget what former ones spent on the same window."""
+        worst = {
+            (per_s, after, seed): _worst_window_of_restart(per_s, after, seed)
+            for per_s, after in ((25.0, 3.0), (60.0, 1.5), (60.0, 3.0))
+            for seed in SEEDS
+        }
+        self.assertLessEqual(max(worst.values()), 1.0, worst)
+
+    def test_bursts_keep_the_budget(self) -> None:
+        """Guards against requests of two bursts that pay for the retries of one window."""
+        worst = {
+            (per_s, burst_per_s, gap, seed): _worst_window_of_bursts(per_s, burst_per_s, gap, seed)
+            for per_s, burst_per_s, gap in ((10.0, 180.0, 6.5), (10.0, 400.0, 8.2))
+            for seed in SEEDS
+        }
+        self.assertLessEqual(max(worst.values()), 1.0, worst)
+
     def test_lost_records_keep_the_budget(self) -> None:
         """Guards against entries that divide the slack by fewer entries than sent retries."""
         worst = {}
@@ -106,6 +127,31 @@
     return fleet.worst_window()
 
 
+def _worst_window_of_restart(per_s: float, after: float, seed: int) -> float:
+    """Return the worst window where all entries restart some seconds after servers fail."""
+    fleet = RetryFleet(10, seed)
+    fleet.simulate(LONG_WARM_UP_S, per_s)
+    fleet.rejected_share = 0.9
+    fleet.simulate(LONG_WARM_UP_S + after, per_s)
+    fleet.restart(fleet.entry_ids, LONG_WARM_UP_S + after)
+    fleet.simulate(30.0, per_s)
+    fleet.finish()
+    return fleet.worst_window()
+
+
+def _worst_window_of_bursts(per_s: float, burst_per_s: float, gap: float, seed: int) -> float:
+    """Return the worst window of two bursts; servers fail from the second one on."""
+    fleet = RetryFleet(10, seed)
+    fleet.simulate(LONG_WARM_UP_S, per_s)
+    fleet.simulate(LONG_WARM_UP_S + BURST_S, burst_per_s)
+    fleet.simulate(LONG_WARM_UP_S + gap, per_s)
+    fleet.rejected_share = 0.9
+    fleet.simulate(LONG_WARM_UP_S + gap + BURST_S, burst_per_s)
+    fleet.simulate(30.0, per_s)
+    fleet.finish()
+    return fleet.worst_window()
+
+
 def _worst_window_of_series(seed: int) -> float:
     """Return the worst window of a fleet under a random series of disruptions."""
     rng = random.Random(seed)
--- a/tools/soakretries.py
+++ b/tools/soakretries.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
@@ -45,11 +46,28 @@
         Parameters
         ----------
         requests : sequence of float
-            Times at which requests for the service were sent.
+            Times at which requests for the service were sent, in order.
         """
         ends = (end, end - self.window / 2.0, end - self.window)
-        most = max(sum(e - self.window <= at <= e for at in requests) for e in ends)
-        return self.ratio * most + self.slack
+        return self.ratio * max(self._count(requests, e) for e in ends) + self.slack
+
+    def worst_window(
+        self, requests: Sequence[float], repeats: Sequence[float]
+    ) -> tuple[float, int, float] | None:
+        """Return the window with the most repeats relative to what is allowed.
+
+        Returns
+        -------
+        tuple or None
+            The window's end, its repeats and what is allowed; None if nothing was repeated.
+        """
+        # A window that begins at a repeat may have less cover than one that ends at a repeat.
+        ends = sorted([*repeats, *(at + self.window for at in repeats)])
+        windows = [(end, self._count(repeats, end), self.allowed(requests, end)) for end in ends]
+        return max(windows, key=lambda window: window[1] / window[2], default=None)
+
+    def _count(self, times: Sequence[float], end: float) -> int:
+        return bisect_right(times, end) - bisect_left(times, end - self.window)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +125,9 @@
         worst = []
         for service in SERVICES:
             repeats = self._repeats(service)
-            usages = [self._usage(service, repeats, requests[service], end) for end in repeats]
-            if usages:
-                worst.append(max(usages, key=lambda usage: usage.repeats / usage.allowed))
+            window = self._bound.worst_window(sorted(requests[service]), sorted(repeats))
+            if window is not None:
+                worst.append(WindowUsage(service, *window))
         return worst
 
     def check(self, results: Sequence[CallResult]) -> Iterator[str]:
@@ -121,12 +139,6 @@
                     f"{self._bound.window:g} s up to {usage.end:.3f}, allowed {usage.allowed:.1f}"
                 )
 
-    def _usage(
-        self, service: str, repeats: Sequence[float], requests: Sequence[float], end: float
-    ) -> WindowUsage:
-        count = sum(end - self._bound.window <= at <= end for at in repeats)
-        return WindowUsage(service, end, count, self._bound.allowed(requests, end))
-
     def _repeats(self, service: str) -> list[float]:
         """Return the times of all arrivals at a service but the first of each request."""
         seen: set[str] = set()
