Refuse a passed-on request that a server rejected as such, not as not ready

An entry that is cut off from the servers passes requests on. If the other entry is cut off, too, it answers NOT_READY, and the first one makes its next attempt by way of a third entry without the retry budget, since nothing was sent. But the other entry answered NOT_READY also when it was cut off between a server's rejection and the next attempt: then a server had got the request, and its next arrival was charged to no budget.

It answers ATTEMPTS_SPENT now, after which the first entry makes a retry from its own budget if an attempt is left, as after any other rejection.

The test got NOT_READY on the code before, whether the last attempt was rejected or had no connection. Read besides, each way to an attempt: all others are charged or follow one of which no byte was sent (connections that fail, servers that left while one was made, deadlines that had passed, attempts given up before their connection).

--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -348,7 +348,13 @@
             return attempt
         if outcome not in UNSENT:
             self._return_retry(work)
-        return attempt if proven else None
+        if not proven:
+            return None
+        if attempt.code is Code.NOT_READY and work.is_forwarded and work.sent:
+            # NOT_READY would tell the entry that passed it on that nothing was sent, and its next
+            # attempt would not be charged to the retry budget.
+            return replace(attempt, code=Code.ATTEMPTS_SPENT)
+        return attempt
 
     def retry_unsent_forward(
         self, work: Work, allotted: int, now: float
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -163,6 +163,22 @@
                 self.assertEqual(expected, retry.code if isinstance(retry, Refused) else None)
                 self.assertLessEqual(work.attempts, work.route.attempts)
 
+    def test_a_request_that_a_server_rejected_is_not_refused_as_not_ready(self) -> None:
+        """Guards against retries by way of a third entry that no budget allowed."""
+        for second in (Outcome.REJECTED, Outcome.NOT_SENT):
+            core = steering(5, routes=[route(attempts=4)])
+            work = core.begin(arrival(), 1.0, is_forwarded=True)
+            assert isinstance(work, Work)
+            core.attempt_ended(sent(core, work, 1.0), Outcome.REJECTED, 1.1)
+            again = core.retry(work, Outcome.REJECTED, 1.1)
+            assert isinstance(again, Attempt)
+            core.attempt_ended(again, second, 1.2)
+            cut_off(core, [])
+            refused = core.retry(work, second, 1.2)
+            assert isinstance(refused, Refused)
+            with self.subTest(second=second):
+                self.assertIs(Code.ATTEMPTS_SPENT, refused.code)
+
     def test_callers_cannot_grant_attempts(self) -> None:
         work = steering().begin(replace(arrival(), attempts=1), 1.0)
         assert isinstance(work, Work)
