Refuse a request that was never sent as not run, instead of leaving it open

A once-only request whose connections could not be made until its deadline, or until its process ended, got 504 with 3002: its caller couldn't know whether it ran and must not repeat it, although nothing had been sent. It gets 503 with 2104 and Retry-After now, and so does a request that may be repeated, instead of 504 with 4002.

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -123,6 +123,10 @@
         if streaming is not None:
             self._abort_response(Code.ANSWER_CUT_SHORT)
             return
+        if not self.work.sent:
+            now = self._services.clock.seconds()
+            self._refuse(self._services.steering.refuse_unsent(self.work, now))
+            return
         once_only = not self.work.route.repeatable
         self._refuse(
             Refused(Code.DEADLINE_PASSED_AFTER_DISPATCH if once_only else Code.DEADLINE_PASSED)
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -372,6 +372,10 @@
             self.repeats.record(work.service, RepeatReason.UNSENT, now)
         return attempt
 
+    def refuse_unsent(self, work: Work, now: float) -> Refused:
+        """Return the refusal of a request that was given up before anything of it was sent."""
+        return Refused(Code.NO_TARGET, self._retry_after(work, now), "no connection was made")
+
     def forward_ended(self, attempt: ForwardAttempt, outcome: Outcome, now: float) -> None:
         """Record the end of an attempt by way of another entry."""
         if attempt.ended:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from briarspur.bufferedrequest import Flow
-from briarspur.codes import Code
+from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.servernotice import ServerNotice
@@ -37,6 +37,22 @@
 class ExchangeTest(ExchangeCase):
     """Every caller gets the complete response to its own request, or an accurate error."""
 
+    def test_a_request_that_was_not_sent_is_refused_as_not_run(self) -> None:
+        """Guards against callers that can't repeat a booking which no server got."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            self.assertEqual(0, exchange.work.sent)
+            exchange.expire()
+            assert caller.refused is not None and caller.refused.retry_after is not None
+            self.assertIs(Ran.NO, CODES[caller.refused.code].ran)
+            self.assertEqual(503, CODES[caller.refused.code].http_status)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], backends[0].heads)
+
+        for path in ("/book/1", "/times/1"):
+            with self.subTest(path):
+                self.run_request([answers], check, path=path)
+
     def test_a_complete_response_is_delivered(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             await eventually(lambda: caller.finished)
