Uncount a refunded request itself, not the one that was admitted last

A request that the gateway refuses after it was admitted doesn't count for its customer's quota. The count that was taken back was that of the last admitted request, so where others were admitted in between, one of these left the window as early as the refused one would have, and the customer could exceed its quota by it; and a request that was admitted before its customer had a quota took back the count of another one. The same for servers' limits and requests that were not sent.

Found by reading the order of events. Both tests count 0 instead of 1 on the code before (with the refund's former signature, in a trial). test_refunded_requests_do_not_count names the time now; its check is the same.

--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -286,7 +286,7 @@
 
     def _refuse(self, refused: Refused) -> None:
         if CODES[refused.code].ran is Ran.NO and not self.work.is_forwarded:
-            self._services.steering.quotas.refund(self.work.customer)
+            self._services.steering.quotas.refund(self.work.customer, self.work.arrived)
         self._caller.refuse(refused)
         status = self._services.dialect.status(refused.code)
         self._finish(refused.code, status, refused.detail)
--- a/briarspur/gateway/quota.py
+++ b/briarspur/gateway/quota.py
@@ -158,10 +158,10 @@
         else:
             self.elsewhere = max(0, self.elsewhere + change)
 
-    def refund(self) -> None:
-        """Uncount the most recently admitted request."""
-        if self._admitted:
-            self._admitted.pop()
+    def refund(self, admitted_at: float) -> None:
+        """Uncount a request that was admitted at a time, if it still counts."""
+        if admitted_at in self._admitted:
+            self._admitted.remove(admitted_at)
 
     def retry_after(self, allowance: Allowance, now: float) -> float:
         """Return the seconds after which a refused request would be within the quota."""
--- a/briarspur/gateway/quotas.py
+++ b/briarspur/gateway/quotas.py
@@ -197,11 +197,11 @@
             f"{usage.elsewhere} elsewhere in {self.window:g} s, limit {allowance.quota.limit:g}",
         )
 
-    def refund(self, customer: Customer | None) -> None:
+    def refund(self, customer: Customer | None, admitted_at: float) -> None:
         """Uncount a request that was admitted, but then refused by the gateway itself."""
         limited = None if customer is None else self._limited_by_name.get(customer.name)
         if limited is not None:
-            limited.usage.refund()
+            limited.usage.refund(admitted_at)
 
     def counts(self, now: float) -> Counter[int]:
         """Return how many requests this entry admitted and was offered, by customer number."""
--- a/briarspur/gateway/serverlimits.py
+++ b/briarspur/gateway/serverlimits.py
@@ -190,11 +190,11 @@
         if limit is not None:
             limit.usage.record_admitted(now)
 
-    def not_sent(self, target: Target) -> None:
-        """Uncount a request that was not sent after all."""
+    def not_sent(self, target: Target, counted_at: float) -> None:
+        """Uncount a request that was counted at a time, but not sent after all."""
         limit = self._by_number.get(target.number)
         if limit is not None:
-            limit.usage.refund()
+            limit.usage.refund(counted_at)
 
     # Counts of all entries
 
--- a/briarspur/gateway/steering.py
+++ b/briarspur/gateway/steering.py
@@ -306,7 +306,7 @@
         target = attempt.target
         target.in_flight -= 1
         if outcome in UNSENT:
-            self.limits.not_sent(target)
+            self.limits.not_sent(target, attempt.started)
         if outcome in NOT_RUN and attempt.warms_object and attempt.work.key is not None:
             target.warmth.discard(attempt.work.key)
         match outcome:
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -211,7 +211,27 @@
         for number in range(100):
             now = 10.0 + 0.3 * number
             self.assertIsNone(quotas.check(small, f"r-{number}", now))
-            quotas.refund(small)
+            quotas.refund(small, now)
+
+    def test_a_late_refund_uncounts_no_other_request(self) -> None:
+        """Guards against admitted requests that leave the window as early as a refused one."""
+        customer = Customer("c", per_s=1.0, burst=0.0)
+        quotas = Quotas(WINDOW, lambda number: 0)
+        quotas.configured([customer])
+        self.assertIsNone(quotas.check(customer, "refused", 10.0))
+        self.assertIsNone(quotas.check(customer, "admitted", 10.0 + 0.8 * WINDOW))
+        quotas.refund(customer, 10.0)
+        self.assertEqual(1, quotas.counts(10.0 + 1.2 * WINDOW).total())
+
+    def test_a_refund_of_a_request_from_before_the_quota_uncounts_no_other(self) -> None:
+        quotas = Quotas(WINDOW, lambda number: 0)
+        unlimited, limited = Customer("c"), Customer("c", per_s=1.0, burst=0.0)
+        quotas.configured([unlimited])
+        self.assertIsNone(quotas.check(unlimited, "early", 10.0))
+        quotas.configured([limited])
+        self.assertIsNone(quotas.check(limited, "counted", 11.0))
+        quotas.refund(limited, 10.0)
+        self.assertEqual(1, quotas.counts(12.0).total())
 
     def test_a_customer_without_a_rate_has_no_limit(self) -> None:
         quotas = Quotas(WINDOW, lambda number: 0)
