Let the fault soak repeat its own calls to the store

Such a call is repeated now, as the operator's writes already were. The test got the TimeoutError before.

--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from tools.faultsoak import LOST_REVISIONS, FaultSoak
 from tools.soakcuts import REFUSED, SILENT, PinnedCaller
@@ -297,6 +298,16 @@
             soak.check_results()
             self.assertEqual(["only 0 of 4 requests were answered"], soak.findings)
 
+    def test_a_store_that_answers_late_does_not_end_the_soak(self) -> None:
+        """Guards against runs that end with an exception of the soak's own call."""
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            patch("tools.faultsoak.call_store", side_effect=[TimeoutError, (200, None)]) as calls,
+        ):
+            soak = FaultSoak(1, 1.0, 1, Path(folder))
+            asyncio.run(soak._control_store({"outage": "none"}))
+            self.assertEqual(2, calls.call_count)
+
     def test_repeated_arrivals_above_the_budget_are_found(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             bound = RetryBound(ratio=0.5, slack=2.0, window=4.0)
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -62,8 +62,8 @@
 pass those that were known before its return."""
 READ_TIME_S = 1.2
 """Time for the gateways to read the revisions that are lost then."""
-MAX_REWRITES = 30
-"""Attempts of the operator to write the policy again; another fault may keep the store away."""
+MAX_STORE_CALLS = 30
+"""Attempts to make one call to the store; another fault, or a busy machine, may keep it away."""
 SETTINGS_VARIABLE = "BRIARSPUR_BOOT"
 
 
@@ -287,12 +287,7 @@
         return True
 
     async def _rewrite_policy(self) -> None:
-        for _ in range(MAX_REWRITES):
-            try:
-                await self._write_policy()
-                return
-            except (OSError, ValueError, IndexError):
-                await asyncio.sleep(0.2)
+        await self._repeat_until_answered(self._write_policy)
 
     async def _kill_targets(self) -> None:
         process = self._rng.choice(list(self.deployment.targets_by_process))
@@ -376,7 +371,16 @@
         self._start(name, "briarspur.platform")
 
     async def _control_store(self, changes: dict[str, Any]) -> None:
-        await call_store(self.deployment.store_port, "POST", "/control", changes)
+        port = self.deployment.store_port
+        await self._repeat_until_answered(lambda: call_store(port, "POST", "/control", changes))
+
+    async def _repeat_until_answered(self, call: Callable[[], Awaitable[object]]) -> None:
+        for _ in range(MAX_STORE_CALLS):
+            try:
+                await call()
+                return
+            except (OSError, ValueError, IndexError):
+                await asyncio.sleep(0.2)
 
     async def _write_policy(self) -> None:
         prefixes = ["/base/", *(f"/v{n}/" for n in range(2, self._version + 1))]
