Close a connection to another entry that was opened after it left the pool

Calls to one entry share a connection. If one of them fails, the pool closes the connection and forgets it; another call that was still connecting then opens it anew, and nobody closes it any more. Python closes it when it collects the object, and the entry logs an unhandled error.

The last call that ends closes a connection that isn't pooled any more. The test found it open before.

--- a/briarspur/peerchannels.py
+++ b/briarspur/peerchannels.py
@@ -81,6 +81,10 @@
         finally:
             open_channel.calls -= 1
             open_channel.used_at = asyncio.get_running_loop().time()
+            is_pooled = self._channels_by_address.get(address) is open_channel
+            if not is_pooled and open_channel.calls == 0:
+                # A call that was connecting when another one closed the channel has opened it anew.
+                open_channel.channel.close()
 
     def _get_or_open(self, address: Address) -> _OpenChannel:
         """Return the connection to an address; open one if there is none.
