Failing test: requests that ran are reported as not run; timeline and hypotheses

Servers of the fault soak can answer requests that they ran with the statuses of rejections, and send rejections that belong to no request.

--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -28,6 +28,8 @@
 CRASH_SHARE = 0.5
 """Share of its work after which a request that crashes the server does so."""
 
+STRAY_REJECTION = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
 
 @dataclass(eq=False)
 class LiveTarget(Resource):
@@ -41,6 +43,12 @@
         A run of a request whose path ends with this crashes the server; empty if none does.
     down_s : float
         Seconds from a crash until it starts again.
+    error_share : float
+        Share of its requests that it runs and answers with ``error_status``.
+    signs_errors : bool
+        Whether such a response has the signature of responses to requests that were run.
+    stray_share : float
+        Share of its responses before which it sends a rejection that belongs to no request.
     """
 
     item_id: str
@@ -56,6 +64,9 @@
     backoff_s: float = 0.0
     lose_share: float = 0.0
     error_share: float = 0.0
+    error_status: int = 500
+    signs_errors: bool = True
+    stray_share: float = 0.0
     crashes_on: str = ""
     down_s: float = 2.0
     is_down: bool = False
@@ -81,6 +92,9 @@
         self.backoff_s = item.get("rest_s", 0.0)
         self.lose_share = item.get("lose_share", 0.0)
         self.error_share = item.get("error_share", 0.0)
+        self.error_status = item.get("error_status", 500)
+        self.signs_errors = item.get("signs_errors", True)
+        self.stray_share = item.get("stray_share", 0.0)
         self.crashes_on = item.get("crashes_on", "")
         self.work_s = item.get("work_s", self.work_s)
 
@@ -192,7 +206,11 @@
             b"X-Request-Id": request_id,
             **self._notices(),
         }
-        status = 500 if self._rng.random() < self.error_share else 200
+        status = self.error_status if self._rng.random() < self.error_share else 200
+        if status != 200 and not self.signs_errors:
+            del headers[b"X-Response-Signature"]
+        if self.stray_share and self._rng.random() < self.stray_share:
+            cast(Any, request.channel).transport.write(STRAY_REJECTION)
         body = b"body of %b by %b" % (request_id, self.service.encode())
         padding = b"." * int(request.args.get(b"bytes", [b"0"])[0])
         _answer(request, status, headers, body + padding)
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -8,12 +8,14 @@
 import time
 import unittest
 from pathlib import Path
+from typing import Any, ClassVar
 from unittest.mock import patch
 
 from tools.faultsoak import LOST_REVISIONS, FaultSoak
 from tools.soakcuts import REFUSED, SILENT, PinnedCaller
 from tools.soaknotices import AdvertisedLeaving, AdvertisedLimit
 from tools.soakparts import CallResult
+from tools.soakresponses import HEALTHY
 from tools.soakretries import ERROR, LOST, RetryBound, RetryFaults
 
 REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
@@ -128,6 +130,29 @@
         await super()._inject_faults(until)
 
 
+class MisstatedSoak(FaultSoak):
+    """A run in which the responses of all servers can be mistaken for rejections.
+
+    Attributes
+    ----------
+    responses_by_process : dict
+        Settings of the servers of each process.
+    """
+
+    responses_by_process: ClassVar[dict[str, dict[str, Any]]] = {
+        "targets0": {"error_share": 0.2, "error_status": 503},
+        "targets1": {"error_share": 0.2, "error_status": 429, "signs_errors": False},
+        "targets2": {"error_share": 0.2, "error_status": 408},
+        "targets3": {"stray_share": 0.2},
+    }
+
+    async def _inject_faults(self, until: float) -> None:
+        await asyncio.sleep(1.0)
+        for process, settings in self.responses_by_process.items():
+            self.responses.set_responses(process, HEALTHY | settings)
+        await asyncio.sleep(max(0.0, until - time.time()))
+
+
 class FakeLauncher:
     """A launcher whose only process ends some time after each signal."""
 
@@ -203,6 +228,14 @@
                 late = [r for r in soak.results if r.sent > healed]
                 self.assertGreater(sum(r.status == 200 for r in late), 0.95 * len(late))
 
+    def test_requests_that_ran_are_not_reported_as_not_run(self) -> None:
+        """Guards against statuses and rejections that nobody meant for the request that ran."""
+        with tempfile.TemporaryDirectory() as folder:
+            soak = MisstatedSoak(1, CUT_DURATION_S, 3, Path(folder), target_processes=4)
+            soak.once_share = 0.8
+            asyncio.run(soak.run())
+            self.assertEqual([], soak.findings)
+
     def test_callers_that_leave_leave_nothing_open(self) -> None:
         """Guards against requests and memory that are held for callers which have gone."""
         with tempfile.TemporaryDirectory() as folder:
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -43,6 +43,7 @@
     call_store,
     item_id_of,
 )
+from tools.soakresponses import ResponseFaults  # noqa: E402
 from tools.soakretries import RetryFaults  # noqa: E402
 
 __all__ = ["FaultSoak", "main"]
@@ -108,6 +109,13 @@
         self._callers: list[Caller] = []
         self._notices = NoticeFaults(self._rng, self.deployment, self._launcher)
         self.retries = RetryFaults(self._rng, self.deployment, self._launcher)
+        # Its own random numbers leave the other faults of each seed as they are.
+        self.responses = ResponseFaults(
+            random.Random(f"{seed}/responses"),
+            self.deployment,
+            self._launcher,
+            self.retries.record_failing,
+        )
         self.crashes = CrashFaults(self._rng, self.deployment, self._launcher)
         self.cuts = CutFaults(self._rng, self.deployment)
         self.leaving = LeavingCallers(self._rng, self.deployment, self._launcher)
--- a/tools/soakretries.py
+++ b/tools/soakretries.py
@@ -104,6 +104,10 @@
         self.set_failures(process, failure, self._rng.uniform(0.1, 0.8))
         await asyncio.sleep(self._rng.uniform(1.0, 6.0))
         self.set_failures(process, failure, 0.0)
+        self.record_failing(started_at)
+
+    def record_failing(self, started_at: float) -> None:
+        """Record that servers failed requests from a Unix time until now."""
         self._failure_spans.append((started_at, time.time() + RECOVERY_S))
 
     def were_failing(self, at: float) -> bool:
