Count and log who established that a request was not run

A caller that reads 408, 421, 429 or 503 relies on the request not having run. Logs didn't tell on whose word: a server's own 503 was a sampled "answered" line, and a refusal after two attempts, of which one was lost, had the line of any other. not_run_responses_total counts such responses by proof (unsent, server, entry, none), and the line of the request's end has not_run_by. Lines of statements without proof are never left out by sampling. No decision is changed.

--- a/briarspur/gateway/dialect.py
+++ b/briarspur/gateway/dialect.py
@@ -67,6 +67,9 @@
     def outcome(self, head: AnswerHead) -> Outcome:
         """Return the outcome stated by the head of a backend server's response."""
 
+    def states_not_run(self, status: int) -> bool:
+        """Return whether callers take a status for the statement that a request was not run."""
+
     def notice(self, head: AnswerHead) -> ServerNotice | None:
         """Return the notices of the server in a response; None if it may be another server's."""
 
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -8,7 +8,8 @@
 from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway.entrydestination import EntryDestination
 from briarspur.gateway.forwarding import ForwardAttempt
-from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.notrun import Proof, proof_of_refusal
+from briarspur.gateway.outcome import NOT_RUN, Outcome
 from briarspur.gateway.outgoingrequest import Destination, OutgoingRequest
 from briarspur.gateway.serverdestination import ServerDestination
 from briarspur.gateway.services import IncomingRequest, Services
@@ -167,6 +168,8 @@
         self._active.remove(outgoing)
         destination = outgoing.destination
         destination.record_end(outcome, detail, outgoing.was_sent, now)
+        if outgoing.was_sent and outcome not in NOT_RUN:
+            self.work.may_have_run = True
         if self.done:
             self._release()
             return
@@ -211,7 +214,7 @@
         if isinstance(step, (Attempt, ForwardAttempt)):
             self._start_attempt(step, refused.code.name.lower().replace("_", " "))
         else:
-            self._refuse(refused)
+            self._refuse(refused, is_from_entry=True)
 
     def _start_attempt(self, attempt: Attempt | ForwardAttempt, why: str) -> None:
         destination: Destination
@@ -284,14 +287,15 @@
             if outgoing is not chosen:
                 outgoing.abandon(Outcome.ABANDONED)
 
-    def _refuse(self, refused: Refused) -> None:
+    def _refuse(self, refused: Refused, is_from_entry: bool = False) -> None:
         if CODES[refused.code].ran is Ran.NO and not self.work.is_forwarded:
             self._services.steering.quotas.refund(self.work.customer, self.work.arrived)
         self._caller.refuse(refused)
         status = self._services.dialect.status(refused.code)
-        self._finish(refused.code, status, refused.detail)
+        proof = proof_of_refusal(self.work, is_from_entry)
+        self._finish(refused.code, status, refused.detail, proof)
 
-    def _finish(self, code: Code, status: int, detail: str = "") -> None:
+    def _finish(self, code: Code, status: int, detail: str = "", proof: Proof = Proof.NONE) -> None:
         if self.done:
             return
         self.done = True
@@ -301,7 +305,10 @@
         self._timers.clear()
         services = self._services
         now = services.clock.seconds()
-        services.log.request_ended(self.work, code, status, now, detail)
+        states_not_run = services.dialect.states_not_run(status)
+        services.log.request_ended(
+            self.work, code, status, now, detail, proof if states_not_run else None
+        )
         self._release()
 
     def _release(self) -> None:
--- a/briarspur/gateway/exposition.py
+++ b/briarspur/gateway/exposition.py
@@ -25,6 +25,8 @@
     "targets_leaving": "gauge by service: those that announced in a response that they are leaving",
     "targets_resting": "gauge by service: those that asked this entry to back off",
     "forwards_total": "counter by outcome: requests passed on to other entries",
+    "not_run_responses_total": "counter by proof: final responses that state that the request was "
+    "not run, by who established it; none if nobody did",
     "in_flight": "gauge by service: requests at backend servers, of all entries",
     "retries_used": "gauge by service: retries in the window that allows the fewest more",
     "retries_unanswered": "gauge by service: those that may not have arrived at a server yet",
--- a/briarspur/gateway/metricspage.py
+++ b/briarspur/gateway/metricspage.py
@@ -21,6 +21,7 @@
     page.values("requests_total", "code", gateway.log.final_counts)
     page.values("attempts_total", "outcome", gateway.log.outcome_counts)
     page.values("forwards_total", "outcome", gateway.log.forward_counts)
+    page.values("not_run_responses_total", "proof", gateway.log.not_run_counts)
     for route, histogram in sorted(gateway.log.answer_times.items()):
         page.histogram("answer_seconds", histogram, route=route)
     page.histogram("attempt_seconds", gateway.log.attempt_times)
--- /dev/null
+++ b/briarspur/gateway/notrun.py
@@ -0,0 +1,31 @@
+"""What a response relies on that tells its caller that the request was not run."""
+
+from enum import Enum
+
+from briarspur.gateway.work import Work
+
+__all__ = ["Proof", "proof_of_refusal"]
+
+
+class Proof(Enum):
+    """Who established that a request was not run."""
+
+    UNSENT = "unsent"
+    SERVER = "server"
+    ENTRY = "entry"
+    NONE = "none"
+
+
+def proof_of_refusal(work: Work, is_from_entry: bool) -> Proof:
+    """Return what a refusal of this process relies on.
+
+    Parameters
+    ----------
+    is_from_entry : bool
+        Whether another entry refused the request.
+    """
+    if work.may_have_run:
+        return Proof.NONE
+    if is_from_entry:
+        return Proof.ENTRY
+    return Proof.SERVER if work.sent else Proof.UNSENT
--- a/briarspur/gateway/requestlog.py
+++ b/briarspur/gateway/requestlog.py
@@ -8,6 +8,7 @@
 from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway.forwarding import ForwardAttempt
 from briarspur.gateway.histogram import Histogram
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import UNANSWERED, Outcome
 from briarspur.gateway.tokens import TokenBucket
 from briarspur.gateway.work import Attempt, Refused, Work
@@ -55,6 +56,7 @@
         self.final_counts: Counter[str] = Counter()
         self.outcome_counts: Counter[str] = Counter()
         self.forward_counts: Counter[str] = Counter()
+        self.not_run_counts: Counter[str] = Counter()
         self.answer_times: dict[str, Histogram] = {}
         self.attempt_times = Histogram()
 
@@ -132,13 +134,21 @@
         )
 
     def request_ended(
-        self, work: Work, code: Code, status: int, now: float, detail: str = ""
+        self,
+        work: Work,
+        code: Code,
+        status: int,
+        now: float,
+        detail: str = "",
+        proof: Proof | None = None,
     ) -> None:
-        """Record the final response; ``detail`` is the cause of one that this process generated."""
+        """Record the final response; see :class:`ExchangeLog` for the parameters."""
         self.final_counts[code.name] += 1
+        if proof is not None:
+            self.not_run_counts[proof.value] += 1
         seconds = now - work.arrived
         self._histogram(work.route.name).record(seconds)
-        if code is Code.ANSWERED:
+        if code is Code.ANSWERED and proof is None:
             if not self._is_sampled(work.request_id):
                 self._omitted += 1
                 return
@@ -159,6 +169,7 @@
             sent=work.sent,
             version=work.version,
             store_age=f"{min(self._store_age(), MAX_SHOWN_AGE_S):.1f}",
+            not_run_by=None if proof is None else proof.value,
             detail=detail or None,
         )
 
--- a/briarspur/gateway/services.py
+++ b/briarspur/gateway/services.py
@@ -10,6 +10,7 @@
 from briarspur.gateway.content import RequestContent
 from briarspur.gateway.dialect import Dialect
 from briarspur.gateway.forwarding import ForwardAttempt
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.pool import ConnectionPool
 from briarspur.gateway.steering import Steering
@@ -63,9 +64,23 @@
         """Record the end of an attempt by way of another entry."""
 
     def request_ended(
-        self, work: Work, code: Code, status: int, now: float, detail: str = ""
+        self,
+        work: Work,
+        code: Code,
+        status: int,
+        now: float,
+        detail: str = "",
+        proof: Proof | None = None,
     ) -> None:
-        """Record the final response; ``detail`` is the cause of one that this process generated."""
+        """Record the final response.
+
+        Parameters
+        ----------
+        detail : str, optional
+            Cause of a response that this process generated.
+        proof : Proof or None
+            What a response relies on that states that the request was not run; None for others.
+        """
 
 
 class Clock(Protocol):
--- a/briarspur/gateway/work.py
+++ b/briarspur/gateway/work.py
@@ -114,6 +114,8 @@
         Servers to which it may be sent.
     sent : int
         Servers to which it was sent, or may have been sent by other entries.
+    may_have_run : bool
+        Whether an attempt ended without proof that the request was not run.
     unanswered : int
         Attempts that have not ended.
     arrived_by : float
@@ -142,6 +144,7 @@
     tried: list[Target] = field(default_factory=list)
     sent: int = 0
     hedged: bool = False
+    may_have_run: bool = False
     unanswered: int = 0
     arrived_by: float = -math.inf
     retries: list[Retry] = field(default_factory=list)
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -25,6 +25,7 @@
 __all__ = ["PlatformDialect"]
 
 MISDIRECTED = 421
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
 SUCCESS = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 SET_BY_GATEWAY = frozenset(
@@ -120,6 +121,10 @@
             return Outcome.ANSWERED if whole and not encoded else Outcome.INVALID
         return Outcome.SERVER_ERROR if head.status in SERVER_ERRORS else Outcome.ANSWERED
 
+    def states_not_run(self, status: int) -> bool:
+        """Return whether callers take a status for the statement that a request was not run."""
+        return status in NOT_RUN_STATUSES
+
     def notice(self, head: AnswerHead) -> ServerNotice | None:
         """Return the notices of a response; None if another server may have sent it."""
         return read_notice(head.headers, head.status, self.outcome(head))
--- a/tests/gateway/exchangecase.py
+++ b/tests/gateway/exchangecase.py
@@ -11,6 +11,7 @@
 from briarspur.gateway.configuration import RouteKind
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.forwarding import ForwardAttempt
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.pool import ConnectionPool
 from briarspur.gateway.services import IncomingRequest, Services
@@ -77,6 +78,7 @@
         self.aborted = False
         self.outcomes: list[Outcome] = []
         self.attempts = 0
+        self.proof: Proof | None = None
 
     def begin(self, head: AnswerHead, headers: list[tuple[bytes, bytes]]) -> None:
         self.begin_calls += 1
@@ -113,9 +115,15 @@
         self.outcomes.append(outcome)
 
     def request_ended(
-        self, work: Work, code: Code, status: int, now: float, detail: str = ""
+        self,
+        work: Work,
+        code: Code,
+        status: int,
+        now: float,
+        detail: str = "",
+        proof: Proof | None = None,
     ) -> None:
-        pass
+        self.proof = proof
 
     @property
     def finished(self) -> bool:
--- a/tests/gateway/test_requestlog.py
+++ b/tests/gateway/test_requestlog.py
@@ -5,6 +5,7 @@
 
 from briarspur import logs
 from briarspur.codes import Code
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.requestlog import (
     MAX_FAILURE_LINES_PER_S,
@@ -45,6 +46,20 @@
         self.simulate(per_s=700, seconds=10)
         self.assertLess(len(self.lines), 3.5 * MAX_ROUTINE_REQUESTS_PER_S * 10)
 
+    def test_statements_that_a_request_was_not_run_are_counted_and_logged(self) -> None:
+        self.simulate(per_s=700, seconds=2)
+        self.lines.clear()
+        work = begun(steering(3), self.now)
+        for proof, code, status in (
+            (Proof.UNSENT, Code.OVERLOADED, 503),
+            (Proof.NONE, Code.ANSWERED, 429),
+            (None, Code.OUTCOME_UNKNOWN, 502),
+        ):
+            self.log.request_ended(work, code, status, self.now, proof=proof)
+        self.assertEqual({"unsent": 1, "none": 1}, self.log.not_run_counts)
+        shown = [fields["not_run_by"] for name, fields in self.lines if "status" in fields]
+        self.assertEqual(["unsent", "none", None], shown)
+
     def test_all_lines_of_a_request_are_logged_or_none(self) -> None:
         self.simulate(per_s=300, seconds=3)
         self.lines.clear()
