Don't return a server's own 408, 429 or 503 for a request that may run once

What callers saw: a booking was answered 503 (or 429, 408), which states that it was not run and never will be, although a server had run it. They make it again.

Cause: PlatformDialect takes every 5xx without X-Not-Executed for a server's error and every other status for an answer, and both are returned unchanged. With these statuses the response says to the caller what the server never said.

The caller gets 502 with code 3000 instead, without the signature, since a failure that has a signature must have the server's status. It promises nothing, as nobody did. A long response with such a status is not streamed. Routes that may be repeated are as before: their callers come again anyway, and the server's Retry-After helps them.

--- a/briarspur/codes.py
+++ b/briarspur/codes.py
@@ -164,7 +164,10 @@
         "earlier copies crashed backend servers, it seems; this one was not run",
     ),
     Code.OUTCOME_UNKNOWN: CodeInfo(
-        502, Ran.UNKNOWN, Repeat.ASK_FIRST, "the connection broke after the request was handed over"
+        502,
+        Ran.UNKNOWN,
+        Repeat.ASK_FIRST,
+        "the connection broke, or the server failed, after the request was handed over",
     ),
     Code.HOME_GONE: CodeInfo(
         502, Ran.UNKNOWN, Repeat.ASK_FIRST, "the key's home entry is gone and left no outcome"
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -248,6 +248,9 @@
         assert outgoing.head is not None
         self._decided = True
         head, body = outgoing.head, outgoing.pop_body()
+        if outgoing.is_misstated(head):
+            self._refuse(Refused(Code.OUTCOME_UNKNOWN, detail=f"the server failed: {head.status}"))
+            return
         self._abandon_others(outgoing)
         self._services.steering.record_answer_size(self.work, len(body))
         complete_head = AnswerHead(head.status, head.headers, len(body))
--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -128,6 +128,15 @@
         self.buffered_bytes = 0
         return body
 
+    def is_misstated(self, head: AnswerHead) -> bool:
+        """Return whether a response that belongs to a run must not reach the caller.
+
+        Its status would tell the caller that the request was not run, and the caller would repeat a
+        request that must run once at most.
+        """
+        states_not_run = self._services.dialect.states_not_run(head.status)
+        return states_not_run and not self._work.route.repeatable
+
     def pause(self) -> None:
         """Stop reading the response while the caller does not read."""
         if self._connection is not None:
@@ -184,14 +193,14 @@
         """Handle the head, and offer a response that may be forwarded."""
         self.head = head
         self.destination.head_received(head)
-        if self.destination.outcome(head) is Outcome.ANSWERED:
+        if self._outcome(head) is Outcome.ANSWERED:
             self._owner.headers_received(self, head)
 
     def data_received(self, data: bytes) -> None:
         """Buffer a chunk of the body, up to a limit if the response is a failure."""
         self._chunks.append(data)
         self.buffered_bytes += len(data)
-        if self.head is not None and self.destination.outcome(self.head) is Outcome.ANSWERED:
+        if self.head is not None and self._outcome(self.head) is Outcome.ANSWERED:
             self._owner.body_received(self)
         elif self.buffered_bytes > MAX_FAILURE_BYTES:
             connection, self._connection = self._connection, None
@@ -205,7 +214,7 @@
             return
         assert self.head is not None
         self._connection = None
-        self._end(self.destination.outcome(self.head), str(self.head.status))
+        self._end(self._outcome(self.head), str(self.head.status))
 
     def response_failed(self, reason: str) -> None:
         """End the attempt; the outcome depends on the headers if they were received."""
@@ -214,7 +223,7 @@
         self._connection = None
         outcome = Outcome.LOST
         if self.head is not None:
-            head_outcome = self.destination.outcome(self.head)
+            head_outcome = self._outcome(self.head)
             if head_outcome in (Outcome.REJECTED, Outcome.MISDIRECTED):
                 outcome = head_outcome
             else:
@@ -222,6 +231,13 @@
         self._services.pool.discard_idle(self.destination.address)
         self._end(outcome, reason)
 
+    def _outcome(self, head: AnswerHead) -> Outcome:
+        """Return the outcome that the head states for this request."""
+        outcome = self.destination.outcome(head)
+        if outcome is Outcome.ANSWERED and self.is_misstated(head):
+            return Outcome.SERVER_ERROR
+        return outcome
+
     def _end(self, outcome: Outcome, detail: str) -> None:
         if self.ended:
             return
--- a/tests/gateway/exchangecase.py
+++ b/tests/gateway/exchangecase.py
@@ -30,6 +30,7 @@
     "full_response",
     "hangs",
     "resets",
+    "responds",
     "sheds",
 ]
 
@@ -54,6 +55,18 @@
     connection.writer.write(full_response(head))
 
 
+def responds(status: int, headers: bytes = b"", size: int = 4) -> Script:
+    """Respond to a request that was run with this status."""
+
+    async def script(connection: Connection, head: bytes) -> None:
+        connection.writer.write(
+            b"HTTP/1.1 %d Status\r\nX-Request-Id: %b\r\n%bContent-Length: %d\r\n\r\n%b"
+            % (status, request_id(head), headers, size, b"." * size)
+        )
+
+    return script
+
+
 async def hangs(connection: Connection, head: bytes) -> None:
     await asyncio.sleep(60.0)
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -5,7 +5,8 @@
 
 from briarspur.bufferedrequest import Flow
 from briarspur.codes import CODES, Code, Ran
-from briarspur.gateway.exchange import Exchange
+from briarspur.gateway.exchange import MAX_BUFFERED_BYTES, Exchange
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.servernotice import ServerNotice
 from tests.gateway.exchangecase import (
@@ -15,12 +16,15 @@
     full_response,
     hangs,
     resets,
+    responds,
     sheds,
 )
 from tests.gateway.samples import begun
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually, the_reactor
 
+SIGNATURE = b"X-Response-Signature: s\r\n"
+
 
 class SlowRecorder(Recorder):
     """A caller whose buffers are full for a while after each chunk."""
@@ -143,6 +147,36 @@
 
         self.run_request([truncates, answers], check)
 
+    def test_a_booking_that_a_server_failed_is_not_reported_as_not_run(self) -> None:
+        """Guards against bookings that are made again since a server's 503 said "not run"."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None, caller.status
+            self.assertIs(Code.OUTCOME_UNKNOWN, caller.refused.code)
+            self.assertEqual((0, b""), (caller.begin_calls, caller.body))
+            self.assertEqual(1, sum(len(backend.heads) for backend in backends))
+
+        for status in (408, 429, 503):
+            for headers in (b"", SIGNATURE):
+                for size in (4, 2 * MAX_BUFFERED_BYTES):
+                    with self.subTest(status=status, headers=headers, size=size):
+                        script = responds(status, headers, size)
+                        self.run_request([script, script], check, path="/book/1")
+
+    def test_a_servers_own_failure_is_delivered_unchanged(self) -> None:
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            self.assertIn(caller.status, (404, 408, 429, 500, 503))
+            self.assertEqual((1, b"...."), (caller.begin_calls, caller.body))
+            self.assertEqual(caller.status in (408, 429, 503), caller.proof is Proof.NONE)
+
+        for path, statuses in (("/times/1", (404, 408, 429, 500, 503)), ("/book/1", (404, 500))):
+            for status in statuses:
+                with self.subTest(path, status=status):
+                    script = responds(status, SIGNATURE)
+                    self.run_request([script, script], check, path=path)
+
     def test_a_success_without_signature_is_rejected(self) -> None:
         async def bare(connection: Connection, head: bytes) -> None:
             connection.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
--- a/tests/gateway/test_exchange_forwarding.py
+++ b/tests/gateway/test_exchange_forwarding.py
@@ -5,7 +5,15 @@
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.forwarding import Forwarding
 from briarspur.gateway.outcome import Outcome
-from tests.gateway.exchangecase import ExchangeCase, Recorder, Script, answers, hangs, resets
+from tests.gateway.exchangecase import (
+    ExchangeCase,
+    Recorder,
+    Script,
+    answers,
+    hangs,
+    resets,
+    responds,
+)
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually
 
@@ -185,6 +193,22 @@
         refused = refuses(Code.OUTCOME_UNKNOWN)
         self.run_request([answers, refused, refused], check, path="/book/1")
 
+    def test_a_booking_that_a_server_failed_at_another_entry_is_not_reported_as_not_run(
+        self,
+    ) -> None:
+        """Guards against entries of an earlier version, which return a server's own 503."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            self.cut_off(exchange, backends[1:])
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None, caller.status
+            self.assertIs(Code.OUTCOME_UNKNOWN, caller.refused.code)
+
+        for status in (408, 429, 503):
+            with self.subTest(status=status):
+                script = responds(status, b"X-Response-Signature: s\r\n")
+                self.run_request([answers, script, script], check, path="/book/1")
+
     def test_a_booking_lost_at_another_entry_has_an_unknown_outcome(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             self.cut_off(exchange, backends[1:])
