Don't take a response without an id over a used connection for the pending one

What callers saw: a booking was answered 503, not run, while a server ran it; with attempts left it ran at a second server, too. Found by its own test besides: a caller got the success that belonged to no request of its own.

Cause: a response that names no request was taken for the one to whichever request is pending, as rejections might lack the id. A server that sends a further rejection, which belongs to no request, so ends the next request over the connection, and its X-Not-Executed counts as proof. Servers echo the id in all responses, and only the id tells a late response from the awaited one.

Over a used connection a response without an id is discarded and the next one awaited, so the caller gets its own answer. If none comes within the time after which the response is overdue, the attempt ends as invalid: bookings have an unknown outcome (502), others are sent again. The first response over a connection can belong to no other request; the connection is not kept after one without an id, so servers that send none still work. Requests without an id get a connection of their own. Entries answer each request once, in order; their refusals need no id.

--- a/briarspur/gateway/connection.py
+++ b/briarspur/gateway/connection.py
@@ -34,16 +34,22 @@
     method : bytes
         Method of the request.
     matches : callable
-        Returns whether response headers are those of the response to this request.
+        Returns whether response headers have the id of this request; None if they have no id.
+    needs_id : bool
+        Whether responses without an id may belong to other requests.
     """
 
     method: bytes
-    matches: Callable[[Headers], bool]
+    matches: Callable[[Headers], bool | None]
+    needs_id: bool = True
 
 
 class ResponseSink(Protocol):
     """Receives a response; ``response_complete`` or ``response_failed`` is the last call."""
 
+    def response_unidentified(self) -> None:
+        """Handle a response that is discarded, since it may belong to another request."""
+
     def response_started(self, head: AnswerHead) -> None:
         """Handle the status and headers."""
 
@@ -72,7 +78,9 @@
 
     Bytes received while no request is pending close the connection. A duplicate response to an
     earlier request, which some servers send late, is read and discarded: otherwise it would be
-    regarded as the response to the pending request and delivered to the wrong caller.
+    regarded as the response to the pending request and delivered to the wrong caller. So is a
+    response without a request id, unless it is the first one over the connection, which is then
+    not used again.
 
     Attributes
     ----------
@@ -106,7 +114,7 @@
         assert self._sink is None and not self.closed
         self._sink = sink
         self._expected = expected
-        self._parser = self._new_parser()
+        self._parser = self._new_parser(is_first=not self.used)
         self._discarded_bytes = 0
         self.used += 1
         self._transport.write(request)
@@ -176,9 +184,12 @@
         else:
             sink.response_failed(type(reason.value).__name__)
 
-    def _new_parser(self) -> "_ResponseParser":
+    def _new_parser(self, is_first: bool = False) -> "_ResponseParser":
         assert self._expected is not None
-        parser = _ResponseParser(self._expected, self._head_parsed, self._data_parsed)
+        accepts_without_id = is_first or not self._expected.needs_id
+        parser = _ResponseParser(
+            self._expected, accepts_without_id, self._head_parsed, self._data_parsed
+        )
         parser.makeConnection(_ParserTransport())
         return parser
 
@@ -197,9 +208,12 @@
                 self._fail("connection closed after a response to another request")
                 return
             self._parser = self._new_parser()
+            if parser.has_no_id and self._sink is not None:
+                self._sink.response_unidentified()
             return
         sink, self._sink, self._parser = self._sink, None, None
-        if sink is None or parser.closes_connection or has_extra_bytes:
+        lacks_id = parser.has_no_id and parser.needs_id
+        if sink is None or parser.closes_connection or has_extra_bytes or lacks_id:
             self._transport.abortConnection()
         else:
             # The last chunk may have filled the buffers of a slow caller, whose flow then paused
@@ -240,7 +254,9 @@
     Attributes
     ----------
     mismatched : bool
-        The response belongs to another request.
+        The response belongs to another request, or may do so.
+    has_no_id : bool
+        The response has no request id.
     remaining : bytes
         Bytes received after the end of the response.
     """
@@ -248,19 +264,27 @@
     def __init__(
         self,
         expected: ExpectedResponse,
+        accepts_without_id: bool,
         on_head: Callable[[AnswerHead, float | None], None],
         on_data: Callable[[bytes], None],
     ) -> None:
         super().__init__(expected, self._on_finished)
         self._expected = expected
+        self._accepts_without_id = accepts_without_id
         self._on_head = on_head
         self._on_data = on_data
         self.mismatched = False
+        self.has_no_id = False
         self.done = False
         self.remaining = b""
         self._head_delivered = False
         self._head_bytes = 0
 
+    @property
+    def needs_id(self) -> bool:
+        """Whether responses without an id may belong to other requests."""
+        return self._expected.needs_id
+
     @property
     def closes_connection(self) -> bool:
         """Whether the server closes the connection after this response."""
@@ -295,7 +319,9 @@
         """Deliver the headers before the body, unless the response is another request's."""
         status = self.response.code
         if status >= 200:
-            self.mismatched = not self._expected.matches(self.headers)
+            matches = self._expected.matches(self.headers)
+            self.has_no_id = matches is None
+            self.mismatched = not (self._accepts_without_id if self.has_no_id else matches)
             self.response.deliverBody(cast(Any, _BodyProtocol(self)))
             self._head_delivered = True
             if not self.mismatched:
--- a/briarspur/gateway/dialect.py
+++ b/briarspur/gateway/dialect.py
@@ -61,8 +61,8 @@
     def refusal(self, head: AnswerHead) -> Refused | None:
         """Return the refusal of another entry; None if the response is a server's."""
 
-    def matches_request(self, headers: Headers, request_id: bytes) -> bool:
-        """Return whether a response is the one to a request."""
+    def matches_request(self, headers: Headers, request_id: bytes) -> bool | None:
+        """Return whether a response is the one to a request; None if it names no request."""
 
     def outcome(self, head: AnswerHead) -> Outcome:
         """Return the outcome stated by the head of a backend server's response."""
--- a/briarspur/gateway/entrydestination.py
+++ b/briarspur/gateway/entrydestination.py
@@ -31,6 +31,11 @@
         """Host and port of the other entry."""
         return self.attempt.helper.host, self.attempt.helper.news_port
 
+    @property
+    def echoes_ids(self) -> bool:
+        """Return False: refusals have none, but each request gets one response, in order."""
+        return False
+
     @property
     def overdue_after(self) -> float:
         """Seconds from the start after which the response is overdue."""
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -147,6 +147,11 @@
 
     # Events of outgoing requests
 
+    def response_unidentified(self, outgoing: OutgoingRequest) -> None:
+        """Wait for another response only as long as one usually takes to arrive."""
+        delay = outgoing.destination.overdue_after
+        self._schedule(delay, self._give_up_unidentified, outgoing)
+
     def headers_received(self, outgoing: OutgoingRequest, head: AnswerHead) -> None:
         """Start streaming a long response as soon as its headers are received."""
         if head.length is not None and head.length > MAX_BUFFERED_BYTES and not self._decided:
@@ -236,6 +241,10 @@
         outgoing.destination.record_overdue(now)
         self._hedge(now)
 
+    def _give_up_unidentified(self, outgoing: OutgoingRequest) -> None:
+        if outgoing.head is None:
+            outgoing.abandon(Outcome.INVALID, "only a response without a request id")
+
     def _hedge(self, now: float) -> None:
         unsent = sum(not outgoing.was_sent for outgoing in self._active)
         if len(self._active) > 1 or self.work.sent + unsent >= self.work.attempts:
--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -23,6 +23,9 @@
     def request(self) -> IncomingRequest:
         """The request to send."""
 
+    def response_unidentified(self, outgoing: "OutgoingRequest") -> None:
+        """Handle a discarded response that may have been the one to the request."""
+
     def headers_received(self, outgoing: "OutgoingRequest", head: AnswerHead) -> None:
         """Handle the headers of a response that may be forwarded to the caller."""
 
@@ -40,6 +43,10 @@
     def address(self) -> tuple[str, int]:
         """Host and port."""
 
+    @property
+    def echoes_ids(self) -> bool:
+        """Whether its responses have the id of their request."""
+
     @property
     def overdue_after(self) -> float:
         """Seconds from the start after which the response is overdue."""
@@ -103,14 +110,16 @@
     def start(self) -> None:
         """Send the request over an idle connection, or open a new one."""
         pool = self._services.pool
-        connection = pool.acquire_idle(self.destination.address, self._work.route.repeatable)
+        connection = None
+        if self._work.request_id or not self.destination.echoes_ids:
+            connection = pool.acquire_idle(self.destination.address, self._work.route.repeatable)
         if connection is not None:
             self._send(connection)
             return
         self._pending_connection = PendingConnection(self._connected, self._connection_failed)
         pool.connect(self.destination.address, self._pending_connection)
 
-    def abandon(self, outcome: Outcome) -> None:
+    def abandon(self, outcome: Outcome, detail: str = "") -> None:
         """End the attempt and close its connection, which also stops the work on it."""
         if self.ended:
             return
@@ -119,7 +128,7 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.abort()
-        self._end(outcome, "")
+        self._end(outcome, detail)
 
     def pop_body(self) -> bytes:
         """Return the part of the body received since the last call."""
@@ -181,7 +190,9 @@
         dialect = services.dialect
         request_id = work.request_id.encode("latin-1")
         expected = ExpectedResponse(
-            request.method, lambda headers: dialect.matches_request(headers, request_id)
+            request.method,
+            lambda headers: dialect.matches_request(headers, request_id),
+            self.destination.echoes_ids,
         )
         connection.send(
             self.destination.encode(request, math.floor(remaining * 1000.0)), expected, self
@@ -189,6 +200,10 @@
 
     # Response
 
+    def response_unidentified(self) -> None:
+        """Report a discarded response that may have been the one to this request."""
+        self._owner.response_unidentified(self)
+
     def response_started(self, head: AnswerHead) -> None:
         """Handle the head, and offer a response that may be forwarded."""
         self.head = head
--- a/briarspur/gateway/serverdestination.py
+++ b/briarspur/gateway/serverdestination.py
@@ -21,6 +21,11 @@
         registration = self.attempt.target.registration
         return registration.host, registration.port
 
+    @property
+    def echoes_ids(self) -> bool:
+        """Return True: servers may send responses late, which only the id identifies."""
+        return True
+
     @property
     def overdue_after(self) -> float:
         """Seconds from the start after which the response is overdue."""
--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -103,10 +103,10 @@
         except ValueError:
             return None
 
-    def matches_request(self, headers: Headers, request_id: bytes) -> bool:
-        """Return whether a response belongs to a request; rejections may have no request id."""
+    def matches_request(self, headers: Headers, request_id: bytes) -> bool | None:
+        """Return whether a response belongs to a request; None if it has no request id."""
         echoed = last_value(headers, names.REQUEST_ID)
-        return echoed is None or echoed == request_id
+        return None if echoed is None else echoed == request_id
 
     def outcome(self, head: AnswerHead) -> Outcome:
         """Classify a backend server's response by its head."""
--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, TextIO, cast
+from weakref import WeakSet
 
 from twisted.web.client import Agent, readBody
 from twisted.web.http_headers import Headers
@@ -48,7 +49,8 @@
     signs_errors : bool
         Whether such a response has the signature of responses to requests that were run.
     stray_share : float
-        Share of its responses before which it sends a rejection that belongs to no request.
+        Share of its responses over reused connections before which it sends a rejection that
+        belongs to no request.
     """
 
     item_id: str
@@ -80,6 +82,7 @@
         self.target_id = self.item_id
         self._starts = 1
         self._transports: set[Any] = set()
+        self._used_channels: WeakSet[Any] = WeakSet()
         self._running: dict[Request, Any] = {}
         self._queue: list[Request] = []
         self._rng = random.Random(self.target_id)
@@ -209,8 +212,10 @@
         status = self.error_status if self._rng.random() < self.error_share else 200
         if status != 200 and not self.signs_errors:
             del headers[b"X-Response-Signature"]
-        if self.stray_share and self._rng.random() < self.stray_share:
-            cast(Any, request.channel).transport.write(STRAY_REJECTION)
+        channel = cast(Any, request.channel)
+        if channel in self._used_channels and self._rng.random() < self.stray_share:
+            channel.transport.write(STRAY_REJECTION)
+        self._used_channels.add(channel)
         body = b"body of %b by %b" % (request_id, self.service.encode())
         padding = b"." * int(request.args.get(b"bytes", [b"0"])[0])
         _answer(request, status, headers, body + padding)
--- a/tests/gateway/exchangecase.py
+++ b/tests/gateway/exchangecase.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from twisted.web.http_headers import Headers
 
@@ -23,6 +24,7 @@
 from tests.loop import LoopTestCase, the_reactor
 
 __all__ = [
+    "SIGNATURE",
     "ExchangeCase",
     "Recorder",
     "Script",
@@ -34,6 +36,7 @@
     "sheds",
 ]
 
+SIGNATURE = b"X-Response-Signature: s\r\n"
 Script = Callable[[Connection, bytes], Awaitable[None]]
 
 
@@ -179,17 +182,38 @@
                 recorder,
                 lambda ended: None,
             )
+            self._exchanges = [exchange]
             exchange.start()
             try:
                 await check(recorder, exchange, backends)
             finally:
-                exchange.caller_disconnected()
+                for started in self._exchanges:
+                    started.caller_disconnected()
                 pool.close()
                 for backend in backends:
                     await backend.__aexit__()
 
         self.run_on_loop(work())
 
+    def send_next(self, exchange: Exchange, request_id: str = "r-2") -> Recorder:
+        """Send another request like that of an exchange; return its caller."""
+        recorder = Recorder()
+        services = replace(exchange._services, log=recorder)
+        now = services.clock.seconds()
+        timeout = exchange.work.deadline - exchange.work.arrived
+        path = exchange.request.uri.decode()
+        request_work = begun(
+            services.steering, now, path=path, timeout=timeout, request_id=request_id
+        )
+        headers = Headers({b"X-Request-Id": [request_id.encode()], b"Host": [b"quay.example"]})
+        if not request_id:
+            headers.removeHeader(b"X-Request-Id")
+        request = IncomingRequest(b"GET", path.encode(), headers, b"")
+        started = Exchange(services, request, request_work, recorder, lambda ended: None)
+        self._exchanges.append(started)
+        started.start()
+        return recorder
+
     @staticmethod
     def preference_order(gateway_steering: Steering, path: str, count: int) -> list[str]:
         """Return the ids of the servers in the order in which a request prefers them."""
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -10,6 +10,7 @@
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.servernotice import ServerNotice
 from tests.gateway.exchangecase import (
+    SIGNATURE,
     ExchangeCase,
     Recorder,
     answers,
@@ -23,8 +24,6 @@
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually, the_reactor
 
-SIGNATURE = b"X-Response-Signature: s\r\n"
-
 
 class SlowRecorder(Recorder):
     """A caller whose buffers are full for a while after each chunk."""
--- /dev/null
+++ b/tests/gateway/test_response_ids.py
@@ -0,0 +1,163 @@
+"""Tests of responses without a request id, over connections that are used again."""
+
+import asyncio
+
+from briarspur.codes import Code
+from briarspur.gateway.exchange import Exchange
+from briarspur.gateway.outcome import Outcome
+from tests.gateway.exchangecase import (
+    SIGNATURE,
+    ExchangeCase,
+    Recorder,
+    Script,
+    answers,
+    full_response,
+    sheds,
+)
+from tests.httpfakes import Connection, RawBackend
+from tests.loop import eventually
+
+REJECTIONS = (b"503 Busy", b"429 Slow down", b"400 No id")
+
+
+def first_then(script: Script) -> Script:
+    """Answer the first request over each connection, and the others by the script."""
+    used: set[int] = set()
+
+    async def respond(connection: Connection, head: bytes) -> None:
+        is_first = id(connection) not in used
+        used.add(id(connection))
+        await (answers if is_first else script)(connection, head)
+
+    return respond
+
+
+def rejection(status: bytes) -> bytes:
+    return b"HTTP/1.1 %b\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" % status
+
+
+def sends(*parts: bytes, pause: float = 0.01) -> Script:
+    """Send some bytes, one part after the other, and then the response to the request."""
+
+    async def script(connection: Connection, head: bytes) -> None:
+        for part in parts:
+            connection.writer.write(part)
+            await asyncio.sleep(pause)
+        connection.writer.write(full_response(head, b"own"))
+
+    return script
+
+
+async def rejects_only(connection: Connection, head: bytes) -> None:
+    connection.writer.write(rejection(b"503 Busy"))
+
+
+class ResponseIdTest(ExchangeCase):
+    """Only its id shows to which request a response over a used connection belongs."""
+
+    def test_a_rejection_of_no_request_does_not_end_a_booking(self) -> None:
+        """Guards against bookings reported as not run, or run twice, for a stray rejection."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            self.assertIsNone(second.refused)
+            self.assertEqual((200, b"own", 1), (second.status, second.body, second.attempts))
+            self.assertEqual([2, 0], [len(backend.heads) for backend in backends])
+
+        for status in REJECTIONS:
+            with self.subTest(status):
+                script = first_then(sends(rejection(status)))
+                self.run_request([script, script], check, path="/book/1")
+
+    def test_a_success_of_no_request_is_not_delivered(self) -> None:
+        """Guards against callers that get the answer to another request."""
+        stray = b"HTTP/1.1 200 OK\r\n" + SIGNATURE + b"Content-Length: 5\r\n\r\nstray"
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            self.assertEqual((200, b"own", 1), (second.status, second.body, second.attempts))
+
+        for path in ("/book/1", "/times/1"):
+            with self.subTest(path):
+                self.run_request([first_then(sends(stray))], check, path=path)
+
+    def test_a_booking_whose_only_response_has_no_id_has_an_unknown_outcome(self) -> None:
+        """Guards against bookings that wait until their deadlines for a second response."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            assert second.refused is not None
+            self.assertIs(Code.OUTCOME_UNKNOWN, second.refused.code)
+            self.assertEqual([Outcome.INVALID], second.outcomes)
+            self.assertEqual([2, 0], [len(backend.heads) for backend in backends])
+
+        script = first_then(rejects_only)
+        self.run_request([script, script], check, path="/book/1", timeout=30.0)
+
+    def test_a_repeatable_request_whose_only_response_has_no_id_is_sent_again(self) -> None:
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            self.assertEqual((200, 2), (second.status, second.attempts))
+
+        self.run_request([first_then(rejects_only), answers], check, timeout=30.0)
+
+    def test_a_connection_whose_server_sends_no_ids_is_not_used_again(self) -> None:
+        """Guards against responses that can't be told from those to other requests."""
+
+        async def answers_without_id(connection: Connection, head: bytes) -> None:
+            connection.writer.write(
+                b"HTTP/1.1 200 OK\r\n" + SIGNATURE + b"Content-Length: 5\r\n\r\ntimes"
+            )
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            self.assertEqual([200, 200], [caller.status, second.status])
+            self.assertEqual([2, 2], [len(backends[0].heads), len(backends[0].connections)])
+
+        self.run_request([answers_without_id], check, path="/book/1")
+
+    def test_a_request_without_an_id_gets_a_new_connection(self) -> None:
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange, request_id="")
+            await eventually(lambda: second.finished)
+            self.assertEqual(2, len(backends[0].connections))
+            assert second.refused is not None
+            self.assertIs(Code.ATTEMPTS_SPENT, second.refused.code)
+
+        script = first_then(answers)
+
+        async def sheds_without_id(connection: Connection, head: bytes) -> None:
+            await (script if b"r-1" in head else sheds)(connection, head)
+
+        self.run_request([sheds_without_id, sheds_without_id], check, path="/book/1")
+
+    def test_a_slow_response_after_a_stray_one_is_delivered(self) -> None:
+        """Guards against responses that are given up although they are being received."""
+        body = b"." * 600_000
+
+        async def sends_slowly(connection: Connection, head: bytes) -> None:
+            connection.writer.write(rejection(b"503 Busy"))
+            response = full_response(head, body)
+            for start in range(0, len(response), 100_000):
+                connection.writer.write(response[start : start + 100_000])
+                await asyncio.sleep(0.3)
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            self.assertEqual((200, len(body)), (second.status, len(second.body)))
+            self.assertFalse(second.aborted)
+
+        self.run_request([first_then(sends_slowly)], check, path="/book/1", timeout=30.0)
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -235,6 +235,8 @@
             soak.once_share = 0.8
             asyncio.run(soak.run())
             self.assertEqual([], soak.findings)
+            unknown = [result for result in soak.results if result.once and result.status == 502]
+            self.assertGreater(len(unknown), 50)
 
     def test_callers_that_leave_leave_nothing_open(self) -> None:
         """Guards against requests and memory that are held for callers which have gone."""
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -179,7 +179,7 @@
             self._cut_gateways,
             self.leaving.leave,
         ]
-        fault_tasks: list[asyncio.Future[None]] = []
+        fault_tasks = [asyncio.ensure_future(self.responses.repeat(until))]
         while time.time() < until:
             kind = self._rng.choice(kinds)
             self.faults.append(f"{time.time():.3f} {kind.__name__}")
