Don't refuse a request as not run if an earlier attempt may have run

What callers would see: 503, "ran": "no", for a request of which one attempt was lost at a server and the last one rejected, or refused by another entry. For a route that may be repeated at this entry, but not for the caller, as while a change of routes is under way, that is a false statement; for others it is one as well, though their callers may come again anyway.

Cause: the last attempt alone decided. Steering.retry returns the refusal that follows a rejection, and an exchange hands on the refusal of another entry, whatever became of the attempts before; an entry that refuses with an unknown outcome counted as one that had rejected.

The refusal's own code goes into the log.

--- a/briarspur/gateway/entrydestination.py
+++ b/briarspur/gateway/entrydestination.py
@@ -1,6 +1,7 @@
 """Another entry as the destination of a request, which sends it to a backend server."""
 
 from briarspur.answerhead import AnswerHead
+from briarspur.codes import CODES, Ran
 from briarspur.gateway.forwarding import ForwardAttempt
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.services import IncomingRequest, Services
@@ -86,5 +87,6 @@
     def outcome(self, head: AnswerHead) -> Outcome:
         """Return the outcome that the server or the other entry states."""
         if self.refused is not None:
-            return Outcome.REJECTED
+            is_proven = CODES[self.refused.code].ran is Ran.NO
+            return Outcome.REJECTED if is_proven else Outcome.LOST
         return self._services.dialect.outcome(head)
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -300,6 +300,7 @@
                 outgoing.abandon(Outcome.ABANDONED)
 
     def _refuse(self, refused: Refused, is_from_entry: bool = False) -> None:
+        refused = _without_false_claim(self.work, refused)
         if CODES[refused.code].ran is Ran.NO and not self.work.is_forwarded:
             self._services.steering.quotas.refund(self.work.customer, self.work.arrived)
         self._caller.refuse(refused)
@@ -332,6 +333,14 @@
         self._timers.append(self._services.clock.callLater(max(0.0, delay), call, *args))
 
 
+def _without_false_claim(work: Work, refused: Refused) -> Refused:
+    """Return a refusal that doesn't state "not run" if an earlier attempt may have run."""
+    if not work.may_have_run or CODES[refused.code].ran is not Ran.NO:
+        return refused
+    detail = f"{refused.code.name} after an attempt that may have run {refused.detail}".strip()
+    return Refused(_failure_code(work, Outcome.LOST), refused.retry_after, detail)
+
+
 def _failure_code(work: Work, outcome: Outcome) -> Code:
     if outcome is Outcome.TIMED_OUT:
         return Code.DEADLINE_PASSED
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -163,6 +163,18 @@
                         script = responds(status, headers, size)
                         self.run_request([script, script], check, path="/book/1")
 
+    def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        """Guards against refusals by the last attempt alone, after one that may have run."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None
+            self.assertEqual([Outcome.LOST, Outcome.REJECTED], caller.outcomes)
+            self.assertIs(Code.CONNECTION_LOST, caller.refused.code)
+            self.assertIsNotNone(caller.refused.retry_after)
+
+        self.run_request([resets, sheds], check)
+
     def test_a_servers_own_failure_is_delivered_unchanged(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             await eventually(lambda: caller.finished)
--- a/tests/gateway/test_exchange_forwarding.py
+++ b/tests/gateway/test_exchange_forwarding.py
@@ -1,5 +1,7 @@
 """Tests of exchanges that are passed on to other entries, over real sockets."""
 
+import asyncio
+
 from briarspur.codes import Code
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.exchange import Exchange
@@ -42,6 +44,17 @@
     return script
 
 
+def refuses_in_turn(*codes: Code) -> Script:
+    """Respond as entries that refuse a request, each with the next code."""
+    requests: list[bytes] = []
+
+    async def script(connection: Connection, head: bytes) -> None:
+        requests.append(head)
+        await refuses(codes[len(requests) - 1])(connection, head)
+
+    return script
+
+
 def granted(entries: list[RawBackend], attempts: int = 2) -> list[int]:
     """Return to how many servers each entry may send what it got; all attempts if none is named."""
     heads = [head.lower() for entry in entries for head in entry.heads]
@@ -209,6 +222,39 @@
                 script = responds(status, b"X-Response-Signature: s\r\n")
                 self.run_request([answers, script, script], check, path="/book/1")
 
+    def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        """Guards against entries whose last word counts although an attempt before may have run."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            self.cut_off(exchange, backends[1:])
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None
+            self.assertIs(Code.CONNECTION_LOST, caller.refused.code)
+            self.assertEqual(2, sum(len(backend.heads) for backend in backends[1:]))
+
+        for last in (Code.ATTEMPTS_SPENT, Code.OVERLOADED):
+            with self.subTest(last):
+                script = refuses_in_turn(Code.CONNECTION_LOST, last)
+                self.run_request([answers, script, script], check)
+
+    def test_a_request_that_hangs_at_a_server_is_not_refused_as_not_run(self) -> None:
+        """Guards against the refusal of another entry that knows nothing of the first attempt."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await self.wait_until_sent(exchange)
+            self.cut_off(exchange, backends[1:])
+            await eventually(lambda: bool(backends[1].heads))
+            exchange._active[0].response_failed("ConnectionLost")
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None
+            self.assertIs(Code.CONNECTION_LOST, caller.refused.code)
+
+        async def refuses_late(connection: Connection, head: bytes) -> None:
+            await asyncio.sleep(0.1)
+            await refuses(Code.OVERLOADED)(connection, head)
+
+        self.run_request([hangs, refuses_late], check)
+
     def test_a_booking_lost_at_another_entry_has_an_unknown_outcome(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             self.cut_off(exchange, backends[1:])
