Don't take a response with the signature of a run for a rejection

What callers would see: a booking refused as not run, or run at a second server, on the word of a server whose response states both that it ran the request (X-Response-Signature) and that it did not (X-Not-Executed, or 421).

Cause: the header of rejections, and 421, were read before the signature, which is in every response of a server that executed the request and in no other.

Such a response is a server's failure: the outcome of a booking is unknown, other requests are sent again within the retry budget.

The tests failed before in 11 of 11 new cases.

--- a/briarspur/platform/dialect.py
+++ b/briarspur/platform/dialect.py
@@ -110,15 +110,18 @@
 
     def outcome(self, head: AnswerHead) -> Outcome:
         """Classify a backend server's response by its head."""
+        is_signed = head.headers.hasHeader(names.RESPONSE_SIGNATURE)
+        is_rejection = head.headers.hasHeader(names.NOT_EXECUTED)
+        if is_signed and (is_rejection or head.status == MISDIRECTED):
+            return Outcome.SERVER_ERROR
         if head.status == MISDIRECTED:
             # It has the header of rejections too, but another server than the expected sent it.
             return Outcome.MISDIRECTED
-        if head.headers.hasHeader(names.NOT_EXECUTED):
+        if is_rejection:
             return Outcome.REJECTED
         if head.status in SUCCESS:
-            whole = head.headers.hasHeader(names.RESPONSE_SIGNATURE)
             encoded = head.headers.hasHeader(b"content-encoding")
-            return Outcome.ANSWERED if whole and not encoded else Outcome.INVALID
+            return Outcome.ANSWERED if is_signed and not encoded else Outcome.INVALID
         return Outcome.SERVER_ERROR if head.status in SERVER_ERRORS else Outcome.ANSWERED
 
     def states_not_run(self, status: int) -> bool:
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -157,7 +157,7 @@
             self.assertEqual(1, sum(len(backend.heads) for backend in backends))
 
         for status in (408, 429, 503):
-            for headers in (b"", SIGNATURE):
+            for headers in (b"", SIGNATURE, SIGNATURE + b"X-Not-Executed: 1\r\n"):
                 for size in (4, 2 * MAX_BUFFERED_BYTES):
                     with self.subTest(status=status, headers=headers, size=size):
                         script = responds(status, headers, size)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -26,6 +26,14 @@
         for status in (400, 429, 503):
             self.assertIs(Outcome.REJECTED, self.outcome(status, NOT_EXECUTED))
 
+    def test_a_response_with_the_signature_of_a_run_is_no_rejection(self) -> None:
+        """Guards against "not run" on the word of a server that states both."""
+        signed = {b"X-Response-Signature": [b"s"]}
+        for status in (400, 421, 429, 503):
+            with self.subTest(status=status):
+                self.assertIs(Outcome.SERVER_ERROR, self.outcome(status, NOT_EXECUTED | signed))
+        self.assertIs(Outcome.SERVER_ERROR, self.outcome(421, signed))
+
     def test_only_complete_successes_and_final_failures_are_answers(self) -> None:
         signed = {b"X-Response-Signature": [b"s"]}
         self.assertIs(Outcome.ANSWERED, self.outcome(200, signed))
