Don't refuse a request at the product's entry as not run if it may have run

What callers would see: "OVERLOADED, ran: no" for an idempotent request whose first attempt was lost at a server and whose last one was shed.

A request keeps whether an attempt failed without proof, and a refusal becomes CONNECTION_LOST, ran unknown, with the same Retry-After.

The test failed before (OVERLOADED).

--- a/briarspur/pipeline.py
+++ b/briarspur/pipeline.py
@@ -4,7 +4,7 @@
 attempt leads to the answer, to a retry through some of the filters, or to the final refusal.
 """
 
-from briarspur.codes import Code
+from briarspur.codes import CODES, Code, Ran
 from briarspur.coord.keys import Key
 from briarspur.coord.once import KeptAnswer, KeyMemory, NotRunProof
 from briarspur.coord.quarantine import Admission, Quarantine
@@ -265,6 +265,8 @@
     ) -> None:
         """Retry a request if that is safe and within the retry budget; otherwise finish it."""
         proof = _proof(failure, attempt.attempt_id)
+        if proof is None:
+            work.may_have_run = True
         if self._may_retry(work, attempt, failure, resumable, proof, now):
             self._retry(work, now, out)
         else:
@@ -298,7 +300,9 @@
         out: list[Action],
         proof: NotRunProof | None = None,
     ) -> None:
-        """Refuse a request that was not run; ``proof`` is needed if its key was dispatched."""
+        """Refuse a request; ``proof`` is needed if its key was dispatched."""
+        if work.may_have_run and CODES[refusal.code].ran is Ran.NO:
+            refusal = Refusal(Code.CONNECTION_LOST, refusal.detail, refusal.retry_after)
         if work.attempt_count == 0 or proof is not None:
             self._routing.cancel_shift(work)
         self._requests.reject_not_run(work, refusal, out, proof)
--- a/briarspur/work.py
+++ b/briarspur/work.py
@@ -59,6 +59,8 @@
         Set if this entry is the home of the request's key.
     attempt_count : int
         Attempts so far; those after the first one count against the retry budget.
+    may_have_run : bool
+        An attempt failed without proof that it was not run.
     failed_targets : set of str
         Targets on which an attempt at this request failed.
     failed_entries : set of str
@@ -84,6 +86,7 @@
     key: Key | None = None
     attempt: Attempt | None = None
     attempt_count: int = 0
+    may_have_run: bool = False
     failed_targets: set[str] = field(default_factory=set)
     failed_entries: set[str] = field(default_factory=set)
     bytes_sent: int = 0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -36,6 +36,16 @@
         actions = self.driver.send_request("GET", "/nowhere")
         self.assertEqual(actions[0].refusal.code, Code.UNKNOWN_SERVICE)
 
+    def test_a_request_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        """Guards against refusals by the last attempt alone, after one that may have run."""
+        first = self.driver.send_request("GET", "/booking/1")[0]
+        second = self.core.attempt_failed(first.attempt_id, Failure.LOST, 0.1)[0]
+        third = self.core.attempt_failed(second.attempt_id, Failure.SHED, 0.2)[0]
+        [refused] = self.core.attempt_failed(third.attempt_id, Failure.SHED, 0.3, 1.5)
+        self.assertEqual(
+            (Code.CONNECTION_LOST, 1.5), (refused.refusal.code, refused.refusal.retry_after)
+        )
+
     def test_late_answer_of_a_superseded_attempt_is_dropped(self) -> None:
         """Guards against sending a caller parts of the answers of two targets.
 
