Treat a request that another entry did not read as not run, like other refusals

What callers would see: 503 for a request of which one attempt may have run, if the last entry that it was passed on to refused it unread (NOT_READ). The metric of the statements without proof would count bookings refused so, which are true.

Cause: NOT_READ says "ran: unknown" for the product's other programs, where an earlier copy with the same key may have run. In a gateway each copy has an id of its own, and an unread one was not run; its status states so.

The two tests failed before: NOT_READ instead of CONNECTION_LOST after a lost attempt, and proof "none" instead of "entry".

--- a/briarspur/gateway/entrydestination.py
+++ b/briarspur/gateway/entrydestination.py
@@ -1,8 +1,8 @@
 """Another entry as the destination of a request, which sends it to a backend server."""
 
 from briarspur.answerhead import AnswerHead
-from briarspur.codes import CODES, Ran
 from briarspur.gateway.forwarding import ForwardAttempt
+from briarspur.gateway.notrun import states_not_run
 from briarspur.gateway.outcome import Outcome
 from briarspur.gateway.services import IncomingRequest, Services
 from briarspur.gateway.work import Refused
@@ -87,6 +87,5 @@
     def outcome(self, head: AnswerHead) -> Outcome:
         """Return the outcome that the server or the other entry states."""
         if self.refused is not None:
-            is_proven = CODES[self.refused.code].ran is Ran.NO
-            return Outcome.REJECTED if is_proven else Outcome.LOST
+            return Outcome.REJECTED if states_not_run(self.refused.code) else Outcome.LOST
         return self._services.dialect.outcome(head)
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -8,7 +8,7 @@
 from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway.entrydestination import EntryDestination
 from briarspur.gateway.forwarding import ForwardAttempt
-from briarspur.gateway.notrun import Proof, proof_of_refusal
+from briarspur.gateway.notrun import Proof, proof_of_refusal, states_not_run
 from briarspur.gateway.outcome import NOT_RUN, Outcome
 from briarspur.gateway.outgoingrequest import Destination, OutgoingRequest
 from briarspur.gateway.serverdestination import ServerDestination
@@ -318,9 +318,9 @@
         self._timers.clear()
         services = self._services
         now = services.clock.seconds()
-        states_not_run = services.dialect.states_not_run(status)
+        is_statement = services.dialect.states_not_run(status)
         services.log.request_ended(
-            self.work, code, status, now, detail, proof if states_not_run else None
+            self.work, code, status, now, detail, proof if is_statement else None
         )
         self._release()
 
@@ -335,7 +335,7 @@
 
 def _without_false_claim(work: Work, refused: Refused) -> Refused:
     """Return a refusal that doesn't state "not run" if an earlier attempt may have run."""
-    if not work.may_have_run or CODES[refused.code].ran is not Ran.NO:
+    if not work.may_have_run or not states_not_run(refused.code):
         return refused
     detail = f"{refused.code.name} after an attempt that may have run {refused.detail}".strip()
     return Refused(_failure_code(work, Outcome.LOST), refused.retry_after, detail)
--- a/briarspur/gateway/notrun.py
+++ b/briarspur/gateway/notrun.py
@@ -2,9 +2,10 @@
 
 from enum import Enum
 
+from briarspur.codes import CODES, Code, Ran
 from briarspur.gateway.work import Work
 
-__all__ = ["Proof", "proof_of_refusal"]
+__all__ = ["Proof", "proof_of_refusal", "states_not_run"]
 
 
 class Proof(Enum):
@@ -16,6 +17,13 @@
     NONE = "none"
 
 
+def states_not_run(code: Code) -> bool:
+    """Return whether a gateway that refuses with a code states that it did not run the request."""
+    # The product's other programs say unknown with NOT_READ, as a copy with the same key may have
+    # run; here each copy has an id of its own.
+    return CODES[code].ran is Ran.NO or code is Code.NOT_READ
+
+
 def proof_of_refusal(work: Work, is_from_entry: bool) -> Proof:
     """Return what a refusal of this process relies on.
 
--- a/tests/gateway/test_exchange_forwarding.py
+++ b/tests/gateway/test_exchange_forwarding.py
@@ -6,6 +6,7 @@
 from briarspur.gateway.entryrecord import EntryRecord
 from briarspur.gateway.exchange import Exchange
 from briarspur.gateway.forwarding import Forwarding
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
 from tests.gateway.exchangecase import (
     ExchangeCase,
@@ -232,11 +233,22 @@
             self.assertIs(Code.CONNECTION_LOST, caller.refused.code)
             self.assertEqual(2, sum(len(backend.heads) for backend in backends[1:]))
 
-        for last in (Code.ATTEMPTS_SPENT, Code.OVERLOADED):
+        for last in (Code.ATTEMPTS_SPENT, Code.OVERLOADED, Code.NOT_READ):
             with self.subTest(last):
                 script = refuses_in_turn(Code.CONNECTION_LOST, last)
                 self.run_request([answers, script, script], check)
 
+    def test_a_booking_that_another_entry_did_not_read_is_refused_as_not_run(self) -> None:
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            self.cut_off(exchange, backends[1:])
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None
+            self.assertIs(Code.NOT_READ, caller.refused.code)
+            self.assertIs(Proof.ENTRY, caller.proof)
+
+        refused = refuses(Code.NOT_READ)
+        self.run_request([answers, refused, refused], check, path="/book/1")
+
     def test_a_request_that_hangs_at_a_server_is_not_refused_as_not_run(self) -> None:
         """Guards against the refusal of another entry that knows nothing of the first attempt."""
 
