Don't wait for another response after a rejection without an id

Our stand-in servers left it out.

A rejection of a request that may be repeated is taken at once, but proves nothing, so the request is sent again and never refused as not run. They send it by default from now on; the fault soak has both.

--- a/briarspur/gateway/connection.py
+++ b/briarspur/gateway/connection.py
@@ -37,11 +37,14 @@
         Returns whether response headers have the id of this request; None if they have no id.
     needs_id : bool
         Whether responses without an id may belong to other requests.
+    accepts_without_id : callable
+        Returns whether such a response over a used connection is taken all the same.
     """
 
     method: bytes
     matches: Callable[[Headers], bool | None]
     needs_id: bool = True
+    accepts_without_id: Callable[[AnswerHead], bool] = lambda head: False
 
 
 class ResponseSink(Protocol):
@@ -72,6 +75,9 @@
     def connection_closed(self, connection: "TargetConnection") -> None:
         """Forget a closed connection."""
 
+    def id_missing(self, address: tuple[str, int]) -> None:
+        """Record that a response of a server had no request id."""
+
 
 class TargetConnection(TwistedProtocol):
     """Sends one request at a time.
@@ -186,10 +192,7 @@
 
     def _new_parser(self, is_first: bool = False) -> "_ResponseParser":
         assert self._expected is not None
-        accepts_without_id = is_first or not self._expected.needs_id
-        parser = _ResponseParser(
-            self._expected, accepts_without_id, self._head_parsed, self._data_parsed
-        )
+        parser = _ResponseParser(self._expected, is_first, self._head_parsed, self._data_parsed)
         parser.makeConnection(_ParserTransport())
         return parser
 
@@ -203,17 +206,18 @@
             self._sink.data_received(data)
 
     def _response_parsed(self, parser: "_ResponseParser", has_extra_bytes: bool) -> None:
+        if parser.lacks_id:
+            self.owner.id_missing(self.address)
         if parser.mismatched:
             if parser.closes_connection:
                 self._fail("connection closed after a response to another request")
                 return
             self._parser = self._new_parser()
-            if parser.has_no_id and self._sink is not None:
+            if parser.lacks_id and self._sink is not None:
                 self._sink.response_unidentified()
             return
         sink, self._sink, self._parser = self._sink, None, None
-        lacks_id = parser.has_no_id and parser.needs_id
-        if sink is None or parser.closes_connection or has_extra_bytes or lacks_id:
+        if sink is None or parser.closes_connection or has_extra_bytes or parser.lacks_id:
             self._transport.abortConnection()
         else:
             # The last chunk may have filled the buffers of a slow caller, whose flow then paused
@@ -255,8 +259,8 @@
     ----------
     mismatched : bool
         The response belongs to another request, or may do so.
-    has_no_id : bool
-        The response has no request id.
+    lacks_id : bool
+        The response has no request id, although it needs one.
     remaining : bytes
         Bytes received after the end of the response.
     """
@@ -264,27 +268,22 @@
     def __init__(
         self,
         expected: ExpectedResponse,
-        accepts_without_id: bool,
+        is_first: bool,
         on_head: Callable[[AnswerHead, float | None], None],
         on_data: Callable[[bytes], None],
     ) -> None:
         super().__init__(expected, self._on_finished)
         self._expected = expected
-        self._accepts_without_id = accepts_without_id
+        self._is_first = is_first
         self._on_head = on_head
         self._on_data = on_data
         self.mismatched = False
-        self.has_no_id = False
+        self.lacks_id = False
         self.done = False
         self.remaining = b""
         self._head_delivered = False
         self._head_bytes = 0
 
-    @property
-    def needs_id(self) -> bool:
-        """Whether responses without an id may belong to other requests."""
-        return self._expected.needs_id
-
     @property
     def closes_connection(self) -> bool:
         """Whether the server closes the connection after this response."""
@@ -320,14 +319,17 @@
         status = self.response.code
         if status >= 200:
             matches = self._expected.matches(self.headers)
-            self.has_no_id = matches is None
-            self.mismatched = not (self._accepts_without_id if self.has_no_id else matches)
+            self.lacks_id = matches is None and self._expected.needs_id
+            self.mismatched = matches is False or (self.lacks_id and not self._is_accepted(status))
             self.response.deliverBody(cast(Any, _BodyProtocol(self)))
             self._head_delivered = True
             if not self.mismatched:
                 self._on_head(self._head(status), self._keep_alive_s())
         super().allHeadersReceived()
 
+    def _is_accepted(self, status: int) -> bool:
+        return self._is_first or self._expected.accepts_without_id(self._head(status))
+
     def body_data(self, data: bytes) -> None:
         """Deliver a chunk of the body."""
         if not self.mismatched:
--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -173,7 +173,7 @@
         self._active.remove(outgoing)
         destination = outgoing.destination
         destination.record_end(outcome, detail, outgoing.was_sent, now)
-        if outgoing.was_sent and outcome not in NOT_RUN:
+        if outgoing.was_sent and (outcome not in NOT_RUN or outgoing.is_unidentified):
             self.work.may_have_run = True
         if self.done:
             self._release()
--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -5,7 +5,7 @@
 
 from briarspur.answerhead import AnswerHead
 from briarspur.gateway.connection import ExpectedResponse, TargetConnection
-from briarspur.gateway.outcome import Outcome
+from briarspur.gateway.outcome import NOT_RUN, Outcome
 from briarspur.gateway.pool import PendingConnection
 from briarspur.gateway.services import IncomingRequest, Services
 from briarspur.gateway.work import Work
@@ -88,6 +88,8 @@
         Size of the body that was received and not popped yet.
     was_sent : bool
         Whether any of the request was sent.
+    is_unidentified : bool
+        Whether its response may belong to another request.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.ended = False
         self.buffered_bytes = 0
         self.was_sent = False
+        self.is_unidentified = False
         self._chunks: list[bytes] = []
         self._connection: TargetConnection | None = None
         self._pending_connection: PendingConnection | None = None
@@ -193,6 +196,7 @@
             request.method,
             lambda headers: dialect.matches_request(headers, request_id),
             self.destination.echoes_ids,
+            self._accept_without_id,
         )
         connection.send(
             self.destination.encode(request, math.floor(remaining * 1000.0)), expected, self
@@ -246,6 +250,13 @@
         self._services.pool.discard_idle(self.destination.address)
         self._end(outcome, reason)
 
+    def _accept_without_id(self, head: AnswerHead) -> bool:
+        """Take a rejection that may belong to another request, if this one may be sent again."""
+        if not self._work.route.repeatable or self.destination.outcome(head) not in NOT_RUN:
+            return False
+        self.is_unidentified = True
+        return True
+
     def _outcome(self, head: AnswerHead) -> Outcome:
         """Return the outcome that the head states for this request."""
         outcome = self.destination.outcome(head)
--- a/briarspur/gateway/pool.py
+++ b/briarspur/gateway/pool.py
@@ -25,6 +25,11 @@
 its outcome is unknown, and a new connection costs little in comparison."""
 
 
+MISSING_ID_S = 60.0
+"""Time for which requests that can't be repeated get new connections to a server after a response
+without a request id: over a used connection, its rejections could not be told from others."""
+
+
 class PoolReactor(Protocol):
     """The methods of the reactor that the pool uses."""
 
@@ -94,10 +99,13 @@
         self._bind_address = None if source is None else (source, 0)
         self._idle: dict[tuple[str, int], list[TargetConnection]] = defaultdict(list)
         self.open_by_address: Counter[tuple[str, int]] = Counter()
+        self._ids_missing_until: dict[tuple[str, int], float] = {}
         self.created = 0
 
     def acquire_idle(self, address: tuple[str, int], repeatable: bool) -> TargetConnection | None:
         """Return the most recently used idle connection that is likely to be open, if any."""
+        if not repeatable and address in self._ids_missing_until:
+            return None
         idle = self._idle.get(address)
         now = self._reactor.seconds()
         while idle:
@@ -129,6 +137,9 @@
     def close_expired(self) -> None:
         """Close the connections that have been idle for too long."""
         now = self._reactor.seconds()
+        for address, until in list(self._ids_missing_until.items()):
+            if until <= now:
+                del self._ids_missing_until[address]
         for address, idle in list(self._idle.items()):
             expired = [c for c in idle if now - c.idle_since > _max_idle_s(c)]
             kept = [c for c in idle if now - c.idle_since <= _max_idle_s(c)]
@@ -153,6 +164,10 @@
         connection.idle_since = self._reactor.seconds()
         self._idle[connection.address].append(connection)
 
+    def id_missing(self, address: tuple[str, int]) -> None:
+        """Record that a response of a server had no request id."""
+        self._ids_missing_until[address] = self._reactor.seconds() + MISSING_ID_S
+
     def connection_closed(self, connection: TargetConnection) -> None:
         """Forget a closed connection."""
         self.count_closed(connection.address)
--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -48,6 +48,8 @@
         Share of its requests that it runs and answers with ``error_status``.
     signs_errors : bool
         Whether such a response has the signature of responses to requests that were run.
+    omits_ids : bool
+        Whether its rejections lack the request id.
     stray_share : float
         Share of its responses over reused connections before which it sends a rejection that
         belongs to no request.
@@ -68,6 +70,7 @@
     error_share: float = 0.0
     error_status: int = 500
     signs_errors: bool = True
+    omits_ids: bool = False
     stray_share: float = 0.0
     crashes_on: str = ""
     down_s: float = 2.0
@@ -97,6 +100,7 @@
         self.error_share = item.get("error_share", 0.0)
         self.error_status = item.get("error_status", 500)
         self.signs_errors = item.get("signs_errors", True)
+        self.omits_ids = item.get("omits_ids", False)
         self.stray_share = item.get("stray_share", 0.0)
         self.crashes_on = item.get("crashes_on", "")
         self.work_s = item.get("work_s", self.work_s)
@@ -134,7 +138,7 @@
             is_rejected=is_misdirected,
         )
         if is_misdirected:
-            _answer(request, 421, {b"X-Not-Executed": b"1"})
+            _answer(request, 421, {b"X-Not-Executed": b"1", **self._id_of(request)})
         elif self.backoff_s > 0.0:
             self._write_ledger("rest", request)
             self._reject(request, {b"Retry-After": b"%.2f" % self.backoff_s})
@@ -186,7 +190,15 @@
         self.ledger.flush()
 
     def _reject(self, request: Request, headers: dict[bytes, bytes]) -> None:
-        _answer(request, 503, {b"X-Not-Executed": b"1", **self._notices(), **headers})
+        rejection = {b"X-Not-Executed": b"1", **self._id_of(request), **self._notices()}
+        _answer(request, 503, rejection | headers)
+
+    def _id_of(self, request: Request) -> dict[bytes, bytes]:
+        """Return the header with the request's id, unless rejections lack it."""
+        request_id = request.getHeader(b"x-request-id")
+        if request_id is None or self.omits_ids:
+            return {}
+        return {b"X-Request-Id": request_id}
 
     def _notices(self) -> dict[bytes, bytes]:
         """Return the headers that advertise the server's limit and departure."""
--- a/tests/gateway/test_response_ids.py
+++ b/tests/gateway/test_response_ids.py
@@ -4,6 +4,7 @@
 
 from briarspur.codes import Code
 from briarspur.gateway.exchange import Exchange
+from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
 from tests.gateway.exchangecase import (
     SIGNATURE,
@@ -100,15 +101,57 @@
         script = first_then(rejects_only)
         self.run_request([script, script], check, path="/book/1", timeout=30.0)
 
-    def test_a_repeatable_request_whose_only_response_has_no_id_is_sent_again(self) -> None:
+    def test_a_booking_gets_a_new_connection_after_a_response_without_an_id(self) -> None:
+        """Guards against unknown outcomes of bookings that a full server rejects without ids."""
+
+        class Server:
+            """Answers slowly; once it is full, it rejects requests without their ids."""
+
+            is_full = False
+
+            async def __call__(self, connection: Connection, head: bytes) -> None:
+                await asyncio.sleep(0.05)
+                await (rejects_only if self.is_full else answers)(connection, head)
+
+        server = Server()
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            beside = self.send_next(exchange)
+            await eventually(lambda: caller.finished and beside.finished)
+            self.assertEqual(2, len(backends[0].connections))
+            server.is_full = True
+            for outcome in (Outcome.INVALID, Outcome.REJECTED):
+                rejected = self.send_next(exchange)
+                await eventually(lambda rejected=rejected: rejected.finished)
+                self.assertEqual([outcome], rejected.outcomes)
+            self.assertIs(Proof.SERVER, rejected.proof)
+
+        self.run_request([server], check, path="/book/1", timeout=30.0)
+
+    def test_a_repeatable_request_is_sent_again_at_once_after_a_rejection_without_an_id(
+        self,
+    ) -> None:
+        """Guards against requests that wait at full servers, which send no ids."""
+
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             await eventually(lambda: caller.finished)
             second = self.send_next(exchange)
             await eventually(lambda: second.finished)
             self.assertEqual((200, 2), (second.status, second.attempts))
+            self.assertEqual([Outcome.REJECTED, Outcome.ANSWERED], second.outcomes)
 
         self.run_request([first_then(rejects_only), answers], check, timeout=30.0)
 
+    def test_a_rejection_without_an_id_does_not_prove_that_a_request_was_not_run(self) -> None:
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            await eventually(lambda: second.finished)
+            assert second.refused is not None
+            self.assertIs(Code.CONNECTION_LOST, second.refused.code)
+
+        self.run_request([first_then(rejects_only), sheds], check, timeout=30.0)
+
     def test_a_connection_whose_server_sends_no_ids_is_not_used_again(self) -> None:
         """Guards against responses that can't be told from those to other requests."""
 
--- a/tools/soakresponses.py
+++ b/tools/soakresponses.py
@@ -19,12 +19,13 @@
     "error_share": 0.0,
     "error_status": 500,
     "signs_errors": True,
+    "omits_ids": False,
     "stray_share": 0.0,
 }
 
 
 class ResponseFaults:
-    """Lets servers fail with the statuses of rejections, and send rejections to no request.
+    """Lets servers fail with the statuses of rejections, and reject requests without their ids.
 
     Parameters
     ----------
@@ -60,7 +61,10 @@
     def draw_responses(self) -> dict[str, Any]:
         """Return settings of servers that run requests and respond in one of these ways."""
         if self._rng.random() < 0.5:
-            return HEALTHY | {"stray_share": self._rng.uniform(0.02, 0.2)}
+            return HEALTHY | {
+                "stray_share": self._rng.uniform(0.02, 0.2),
+                "omits_ids": self._rng.random() < 0.5,
+            }
         return HEALTHY | {
             "error_share": self._rng.uniform(0.05, 0.4),
             "error_status": self._rng.choice(STATUSES),
