Run the tests that start processes beside the others

The tests of scenarios, stand-ins and tools mostly wait for processes; they run in a process of their own now, beside the rest. No test is changed, and modules that listen on fixed ports are all in one part.

--- a/tools/check.py
+++ b/tools/check.py
@@ -1,12 +1,18 @@
 """Run the formatter, the linter, the type checker and the tests, and print one closing line.
 
+The tests run in two processes at the same time: those that start processes and mostly wait for
+them, and the others.
+
 Tests listed in KNOWN-RED.txt are run and printed, but their failures are not counted. Each line of
 that file is ``test id | command and seed | what was seen | issue``. A known fault without a test is
 listed as ``hunted day``; such a line excuses no failure.
 """
 
+import argparse
+import re
 import subprocess
 import sys
+import tempfile
 from collections import Counter
 from pathlib import Path
 from typing import ClassVar
@@ -21,6 +27,10 @@
 NO_TEST_PREFIX = "hunted day"
 FAILED = ("failed", "error")
 SUBTEST = "subtest"
+PARTS = ("processes", "others")
+PROCESS_FOLDERS = frozenset({"scenarios", "standins", "tools"})
+"""Folders of tests that start processes."""
+CLOSING_LINE = re.compile(r"^(\d+) passed, (\d+) failed$")
 STATIC_CHECKS = (
     ("black", ["black", "--check", "--quiet", "."]),
     ("ruff", ["ruff", "check", "--quiet", "."]),
@@ -73,11 +83,43 @@
     return passed, len(STATIC_CHECKS) - passed
 
 
-def run_tests() -> tuple[int, int]:
-    """Run every test under ``tests``; return the counts of passed and failed tests."""
+def modules_of(part: str) -> list[str]:
+    """Return the test modules of a part."""
+    modules = []
+    for path in sorted((ROOT / "tests").rglob("test_*.py")):
+        starts_processes = path.parent.name in PROCESS_FOLDERS
+        if starts_processes == (part == PARTS[0]):
+            modules.append(".".join(path.relative_to(ROOT).with_suffix("").parts))
+    return modules
+
+
+def run_parts() -> tuple[int, int]:
+    """Run all parts at the same time, print their output; return the counts of their tests."""
+    passed = failed = 0
+    with tempfile.TemporaryDirectory() as folder:
+        runs = []
+        for part in PARTS:
+            output = Path(folder) / part
+            command = [sys.executable, __file__, "--part", part]
+            with output.open("wb") as file:
+                process = subprocess.Popen(command, cwd=ROOT, stdout=file, stderr=file)
+            runs.append((process, output))
+        for process, output in runs:
+            process.wait()
+            text = output.read_text(errors="replace").rstrip()
+            print(text, flush=True)
+            closing = CLOSING_LINE.match(text.rpartition("\n")[2])
+            # A part that ended early has no closing line.
+            passed += int(closing[1]) if closing else 0
+            failed += int(closing[2]) if closing else 1
+    return passed, failed
+
+
+def run_part(part: str) -> tuple[int, int]:
+    """Run the tests of a part; return the counts of passed and failed tests."""
     program = PluggableTestProgram(
         module=None,
-        argv=["nose2", "-s", "tests", "-t", str(ROOT), "--verbose"],
+        argv=["nose2", "-t", str(ROOT), "--verbose", *modules_of(part)],
         exit=False,
         extraHooks=[],
         plugins=["tools.check"],
@@ -91,11 +133,18 @@
 
 
 def main() -> int:
-    """Run all checks and tests; return the exit code."""
+    """Run all checks and tests, or one part of the tests; return the exit code."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--part", choices=PARTS)
+    part = parser.parse_args().part
     red_lines = read_known_red()
     OutcomePlugin.known_red = frozenset(line.split("|")[0].strip() for line in red_lines)
+    if part is not None:
+        passed, failed = run_part(part)
+        print(f"{passed} passed, {failed} failed", flush=True)
+        return 1 if failed else 0
     checks_passed, checks_failed = run_static_checks()
-    tests_passed, tests_failed = run_tests()
+    tests_passed, tests_failed = run_parts()
     for line in red_lines:
         print(f"known red: {line}")
     passed = checks_passed + tests_passed
