--- a/briarspur/gateway/exchange.py
+++ b/briarspur/gateway/exchange.py
@@ -300,7 +300,7 @@
                 outgoing.abandon(Outcome.ABANDONED)
 
     def _refuse(self, refused: Refused, is_from_entry: bool = False) -> None:
-        refused = _without_false_claim(self.work, refused)
+        refused = _limited_to_proof(self.work, refused)
         if CODES[refused.code].ran is Ran.NO and not self.work.is_forwarded:
             self._services.steering.quotas.refund(self.work.customer, self.work.arrived)
         self._caller.refuse(refused)
@@ -333,8 +333,8 @@
         self._timers.append(self._services.clock.callLater(max(0.0, delay), call, *args))
 
 
-def _without_false_claim(work: Work, refused: Refused) -> Refused:
-    """Return a refusal that doesn't state "not run" if an earlier attempt may have run."""
+def _limited_to_proof(work: Work, refused: Refused) -> Refused:
+    """Return a refusal that states "not run" only if no earlier attempt may have run."""
     if not work.may_have_run or not states_not_run(refused.code):
         return refused
     detail = f"{refused.code.name} after an attempt that may have run {refused.detail}".strip()
--- a/briarspur/gateway/pool.py
+++ b/briarspur/gateway/pool.py
@@ -23,8 +23,6 @@
 MAX_IDLE_UNREPEATABLE_S = 2.0
 """Longest idle time of a connection for a request that can't be repeated: if the connection is lost
 its outcome is unknown, and a new connection costs little in comparison."""
-
-
 MISSING_ID_S = 60.0
 """Time for which requests that can't be repeated get new connections to a server after a response
 without a request id: over a used connection, its rejections could not be told from others."""
