--- a/tests/tools/test_check.py
+++ b/tests/tools/test_check.py
@@ -21,7 +21,7 @@
 
     def test_failures_and_early_ends_of_parts_are_counted(self) -> None:
         """Guards against a passed verdict for tests that failed or never ran."""
-        scripts = ("print('3 passed, 1 failed')", "print('ok'); raise SystemExit(0)")
+        scripts = ("print('3 passed, 1 failed')", "print('ok')", "print('2 passed, 0 failed')")
         started = subprocess.Popen
 
         def start(command: list[str], **fields: object) -> object:
@@ -29,4 +29,4 @@
             return started([command[0], "-c", script], **fields)  # type: ignore[call-overload]
 
         with patch("tools.check.subprocess.Popen", side_effect=start), patch("builtins.print"):
-            self.assertEqual((3, 2), check.run_parts())
+            self.assertEqual((5, 2), check.run_parts())
--- a/tools/check.py
+++ b/tools/check.py
@@ -1,7 +1,7 @@
 """Run the formatter, the linter, the type checker and the tests, and print one closing line.
 
-The tests run in two processes at the same time: those that start processes and mostly wait for
-them, and the others.
+The tests run in three processes at the same time: those that start processes and mostly wait for
+them, those of the gateway, and the others.
 
 Tests listed in KNOWN-RED.txt are run and printed, but their failures are not counted. Each line of
 that file is ``test id | command and seed | what was seen | issue``. A known fault without a test is
@@ -27,9 +27,15 @@
 NO_TEST_PREFIX = "hunted day"
 FAILED = ("failed", "error")
 SUBTEST = "subtest"
-PARTS = ("processes", "others")
-PROCESS_FOLDERS = frozenset({"scenarios", "standins", "tools"})
-"""Folders of tests that start processes."""
+PART_BY_FOLDER = {
+    "scenarios": "processes",
+    "standins": "processes",
+    "tools": "processes",
+    "gateway": "gateway",
+}
+"""Parts of the tests that run at the same time, by the folder of their modules."""
+OTHERS = "others"
+PARTS = (*dict.fromkeys(PART_BY_FOLDER.values()), OTHERS)
 CLOSING_LINE = re.compile(r"^(\d+) passed, (\d+) failed$")
 STATIC_CHECKS = (
     ("black", ["black", "--check", "--quiet", "."]),
@@ -87,8 +93,7 @@
     """Return the test modules of a part."""
     modules = []
     for path in sorted((ROOT / "tests").rglob("test_*.py")):
-        starts_processes = path.parent.name in PROCESS_FOLDERS
-        if starts_processes == (part == PARTS[0]):
+        if PART_BY_FOLDER.get(path.parent.name, OTHERS) == part:
             modules.append(".".join(path.relative_to(ROOT).with_suffix("").parts))
     return modules
 
