Wait once for the response that follows others without ids

A server that sends responses without an id, one after the other, made an entry schedule a timer for each: some 4,000 until the limit of discarded bytes ends the attempt.

--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -104,6 +104,7 @@
         self.buffered_bytes = 0
         self.was_sent = False
         self.is_unidentified = False
+        self._has_discarded = False
         self._chunks: list[bytes] = []
         self._connection: TargetConnection | None = None
         self._pending_connection: PendingConnection | None = None
@@ -205,8 +206,10 @@
     # Response
 
     def response_unidentified(self) -> None:
-        """Report a discarded response that may have been the one to this request."""
-        self._owner.response_unidentified(self)
+        """Report the first discarded response that may have been the one to this request."""
+        if not self._has_discarded:
+            self._has_discarded = True
+            self._owner.response_unidentified(self)
 
     def response_started(self, head: AnswerHead) -> None:
         """Handle the head, and offer a response that may be forwarded."""
--- a/tests/gateway/test_response_ids.py
+++ b/tests/gateway/test_response_ids.py
@@ -185,6 +185,25 @@
 
         self.run_request([sheds_without_id, sheds_without_id], check, path="/book/1")
 
+    def test_many_responses_without_an_id_are_awaited_once(self) -> None:
+        """Guards against a timer for each response of a server that sends them without end."""
+
+        async def rejects_often(connection: Connection, head: bytes) -> None:
+            connection.writer.write(rejection(b"503 Busy") * 500)
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: caller.finished)
+            second = self.send_next(exchange)
+            scheduled = self._exchanges[-1]._timers
+            most = 0
+            while not second.finished:
+                most = max(most, len(scheduled))
+                await asyncio.sleep(0.0)
+            self.assertLess(most, 5)
+            self.assertEqual([Outcome.INVALID], second.outcomes)
+
+        self.run_request([first_then(rejects_often)], check, path="/book/1", timeout=30.0)
+
     def test_a_slow_response_after_a_stray_one_is_delivered(self) -> None:
         """Guards against responses that are given up although they are being received."""
         body = b"." * 600_000
