Test a route that changes between two attempts, and a 421 without an id

The grounds on which a request could wrongly be said not to have run each have a test now. Both pass now.

--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -5,6 +5,7 @@
 
 from briarspur.bufferedrequest import Flow
 from briarspur.codes import CODES, Code, Ran
+from briarspur.gateway.configuration import RouteKind
 from briarspur.gateway.exchange import MAX_BUFFERED_BYTES, Exchange
 from briarspur.gateway.notrun import Proof
 from briarspur.gateway.outcome import Outcome
@@ -20,7 +21,7 @@
     responds,
     sheds,
 )
-from tests.gateway.samples import begun
+from tests.gateway.samples import begun, configuration, route
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually, the_reactor
 
@@ -175,6 +176,22 @@
 
         self.run_request([resets, sheds], check)
 
+    def test_a_route_that_becomes_once_only_meanwhile_is_not_refused_as_not_run(self) -> None:
+        """Guards against "not run" where the caller's route may not be repeated any more."""
+
+        async def resets_late(connection: Connection, head: bytes) -> None:
+            await asyncio.sleep(0.05)
+            connection.writer.transport.abort()
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            changed = configuration(2, [route(kind=RouteKind.ONCE_ONLY)])
+            self.assertTrue(exchange._services.steering.apply_configuration(changed))
+            await eventually(lambda: caller.finished)
+            assert caller.refused is not None
+            self.assertIs(Code.CONNECTION_LOST, caller.refused.code)
+
+        self.run_request([resets_late, sheds], check)
+
     def test_a_servers_own_failure_is_delivered_unchanged(self) -> None:
         async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
             await eventually(lambda: caller.finished)
--- a/tests/gateway/test_response_ids.py
+++ b/tests/gateway/test_response_ids.py
@@ -18,7 +18,7 @@
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually
 
-REJECTIONS = (b"503 Busy", b"429 Slow down", b"400 No id")
+REJECTIONS = (b"503 Busy", b"429 Slow down", b"421 Not me", b"400 No id")
 
 
 def first_then(script: Script) -> Script:
