Don't send a request again over a connection that has carried it

Callers of requests that may run once got 503, which states that nothing was run, while a server ran them (REFUSED alone, since no attempt was left).

A server rejects an attempt, correctly and with the request id, and sends a copy of the rejection late, as the platform's protocol allows. If the same server gets the same request again over the same connection, the copy has the id of the pending attempt and ends it as rejected. An entry doesn't choose a server twice for one request, but it compares the incarnation that it knows: a server whose registration lapsed and returned meanwhile, as after an outage of the store, is another one, at the same address and with the same open connections.

The class: an id identifies a request, not an attempt, so it can't tell the responses to two attempts over one connection apart. Another attempt at an address gets a new connection, on which only its own response can arrive first. Connections between entries are not concerned: an entry passes a request on to each other entry once.

test_a_copy_of_a_rejection_does_not_end_the_next_attempt_at_the_same_server failed before: refused with ATTEMPTS_SPENT (503) instead of the server's 200.

--- a/briarspur/gateway/outgoingrequest.py
+++ b/briarspur/gateway/outgoingrequest.py
@@ -115,7 +115,7 @@
         """Send the request over an idle connection, or open a new one."""
         pool = self._services.pool
         connection = None
-        if self._work.request_id or not self.destination.echoes_ids:
+        if self._can_share_connection():
             connection = pool.acquire_idle(self.destination.address, self._work.route.repeatable)
         if connection is not None:
             self._send(connection)
@@ -123,6 +123,16 @@
         self._pending_connection = PendingConnection(self._connected, self._connection_failed)
         pool.connect(self.destination.address, self._pending_connection)
 
+    def _can_share_connection(self) -> bool:
+        """Return whether the id tells the response from those to earlier requests.
+
+        Late copies of the response to an earlier attempt at the same server have the same id.
+        """
+        if not self.destination.echoes_ids:
+            return True
+        is_first = self.destination.address not in self._work.addresses
+        return bool(self._work.request_id) and is_first
+
     def abandon(self, outcome: Outcome, detail: str = "") -> None:
         """End the attempt and close its connection, which also stops the work on it."""
         if self.ended:
@@ -188,6 +198,7 @@
             self._end(Outcome.NOT_SENT, "deadline")
             return
         work.sent += self.destination.allot_attempts()
+        work.addresses.add(self.destination.address)
         self.was_sent = True
         self._connection = connection
         request = self._owner.request
--- a/briarspur/gateway/work.py
+++ b/briarspur/gateway/work.py
@@ -114,6 +114,8 @@
         Servers to which it may be sent.
     sent : int
         Servers to which it was sent, or may have been sent by other entries.
+    addresses : set of tuple
+        Where it was sent to.
     may_have_run : bool
         Whether an attempt ended without proof that the request was not run.
     unanswered : int
@@ -144,6 +146,7 @@
     tried: list[Target] = field(default_factory=list)
     sent: int = 0
     hedged: bool = False
+    addresses: set[tuple[str, int]] = field(default_factory=set)
     may_have_run: bool = False
     unanswered: int = 0
     arrived_by: float = -math.inf
--- a/tests/gateway/test_response_ids.py
+++ b/tests/gateway/test_response_ids.py
@@ -13,14 +13,21 @@
     Script,
     answers,
     full_response,
+    request_id,
     sheds,
 )
+from tests.gateway.samples import registration
 from tests.httpfakes import Connection, RawBackend
 from tests.loop import eventually
 
 REJECTIONS = (b"503 Busy", b"429 Slow down", b"421 Not me", b"400 No id")
 
 
+REJECTED = (
+    b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: %b\r\nContent-Length: 0\r\n\r\n"
+)
+
+
 def first_then(script: Script) -> Script:
     """Answer the first request over each connection, and the others by the script."""
     used: set[int] = set()
@@ -49,6 +56,25 @@
     return script
 
 
+class CopyingServer:
+    """Rejects the first request over each connection, and again when the next one arrives."""
+
+    def __init__(self) -> None:
+        self.used: set[int] = set()
+
+    async def __call__(self, connection: Connection, head: bytes) -> None:
+        rejected = REJECTED % request_id(head)
+        if not self.used:
+            self.used.add(id(connection))
+            await asyncio.sleep(0.05)
+            connection.writer.write(rejected)
+            return
+        if id(connection) in self.used:
+            connection.writer.write(rejected)
+            await asyncio.sleep(0.05)
+        connection.writer.write(full_response(head, b"own"))
+
+
 async def rejects_only(connection: Connection, head: bytes) -> None:
     connection.writer.write(rejection(b"503 Busy"))
 
@@ -72,6 +98,21 @@
                 script = first_then(sends(rejection(status)))
                 self.run_request([script, script], check, path="/book/1")
 
+    def test_a_copy_of_a_rejection_does_not_end_the_next_attempt_at_the_same_server(self) -> None:
+        """Guards against bookings reported as not run by a response to their earlier attempt."""
+
+        async def check(caller: Recorder, exchange: Exchange, backends: list[RawBackend]) -> None:
+            await eventually(lambda: exchange.work.sent == 1)
+            targets = exchange._services.steering.targets
+            now = exchange._services.clock.seconds()
+            targets.removed("t-0")
+            targets.registered(registration("t-0", port=backends[0].port), now)
+            await eventually(lambda: caller.finished)
+            self.assertIsNone(caller.refused)
+            self.assertEqual((200, b"own", 2), (caller.status, caller.body, caller.attempts))
+
+        self.run_request([CopyingServer()], check, path="/book/1")
+
     def test_a_success_of_no_request_is_not_delivered(self) -> None:
         """Guards against callers that get the answer to another request."""
         stray = b"HTTP/1.1 200 OK\r\n" + SIGNATURE + b"Content-Length: 5\r\n\r\nstray"
