Play fleets in the shape of deployments with servers that write their own bytes

The fault soak had one service, one kind of route that may run once, and servers behind an HTTP library. tools/soakshapes.py plays 10 or 11 gateways in six zones with delays between regions, uploads, DELETE requests that may run once, callers that connect for each request, routes that move between services, and addresses that another service takes over. standins/rawtarget.py sends copies of responses at once or late, rejections with or without ids and marks, rejections before a body was read, responses that break off at any byte, and resets connections beyond its limit. Gateways of another checkout can be played (--code).

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -51,9 +51,15 @@
         self.end_all()
         signal.signal(signal.SIGTERM, signal.SIG_DFL)
 
-    def start(self, name: str, module: str, *arguments: str) -> int:
-        """Start ``python -m module``; return its process id."""
-        environment = {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+    def start(self, name: str, module: str, *arguments: str, root: Path | None = None) -> int:
+        """Start ``python -m module``; return its process id.
+
+        Parameters
+        ----------
+        root : Path, optional
+            Root of the checkout that has the module, if it is not this one.
+        """
+        environment = {**os.environ, "PYTHONPATH": str(root or ROOT), "PYTHONUNBUFFERED": "1"}
         with self.log(name).open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
@@ -76,6 +82,10 @@
         process = self._process_by_name.get(name)
         return process is not None and process.poll() is None
 
+    def has_started(self, name: str) -> bool:
+        """Tell whether a process was started; it may have ended."""
+        return name in self._process_by_name
+
     def pid(self, name: str) -> int:
         """Return the id of a process that was started, which may have ended."""
         return self._process_by_name[name].pid
--- a/standins/livetarget.py
+++ b/standins/livetarget.py
@@ -5,10 +5,10 @@
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, TextIO, cast
+from typing import Any, Protocol, TextIO, cast
 from weakref import WeakSet
 
 from twisted.web.client import Agent, readBody
@@ -20,7 +20,7 @@
 from standins import serving
 from standins.bodies import JsonBody
 
-__all__ = ["LiveTarget", "main"]
+__all__ = ["LiveTarget", "Registrar", "main"]
 
 REGISTRATION_INTERVAL_S = 0.5
 REGISTRATION_LIFETIME_S = 1.5
@@ -242,10 +242,25 @@
         self._start_queued()
 
 
+class Registered(Protocol):
+    """A server whose registration is written to the store."""
+
+    @property
+    def target_id(self) -> str:
+        """The id of this lifetime."""
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the server has ended and not started again."""
+
+    def spec(self) -> dict[str, Any]:
+        """Return the spec of the next registration."""
+
+
 class Registrar:
     """Writes the registrations to the store periodically."""
 
-    def __init__(self, store: str, targets: list[LiveTarget]) -> None:
+    def __init__(self, store: str, targets: Sequence[Registered]) -> None:
         self._agent = Agent(_reactor(), connectTimeout=1.0)
         self._base = f"http://{store}/objects/servers"
         self._targets = targets
@@ -259,7 +274,7 @@
             body = {"metadata": {"name": target.target_id}, "spec": target.spec(), "status": None}
             self._call(b"PUT", f"/{target.target_id}", body, self._create_if_missing(body))
 
-    def lapse(self, target: LiveTarget) -> None:
+    def lapse(self, target: Registered) -> None:
         """Let the registration of a crashed server lapse."""
         path = f"/{target.target_id}"
         _reactor().callLater(REGISTRATION_LIFETIME_S, self._call, b"DELETE", path, {}, readBody)
--- a/tests/tools/test_faultsoak.py
+++ b/tests/tools/test_faultsoak.py
@@ -11,12 +11,14 @@
 from typing import Any, ClassVar
 from unittest.mock import patch
 
+from standins.rawtarget import Switches
 from tools.faultsoak import LOST_REVISIONS, FaultSoak
 from tools.soakcuts import REFUSED, SILENT, PinnedCaller
 from tools.soaknotices import AdvertisedLeaving, AdvertisedLimit
 from tools.soakparts import CallResult
 from tools.soakresponses import HEALTHY
 from tools.soakretries import ERROR, LOST, RetryBound, RetryFaults
+from tools.soakshapes import ShapedSoak
 
 REGRESSION_SEEDS: tuple[tuple[int, str], ...] = (
     (1, "the short run for CI; it has had no findings so far"),
@@ -30,6 +32,7 @@
 CUT_S = 9.0
 CUT_DURATION_S = 18.0
 CUT_CALLERS = 40
+SHAPE_SEED = 31
 SLOW_WORK_S = 0.35
 
 
@@ -169,7 +172,7 @@
     def signal(self, name: str, number: int) -> None:
         self._ends_at = min(self._ends_at, time.monotonic() + 0.2)
 
-    def start(self, name: str, module: str) -> None:
+    def start(self, name: str, module: str, root: Path | None = None) -> None:
         self.starts += 1
         self._ends_at = float("inf")
 
@@ -238,6 +241,16 @@
             unknown = [result for result in soak.results if result.once and result.status == 502]
             self.assertGreater(len(unknown), 50)
 
+    def test_copies_of_rejections_do_not_end_the_requests_of_a_shaped_fleet(self) -> None:
+        """Guards against requests that run and are reported as not run, in a fleet with uploads."""
+        habits = Switches(names_ids=False, extra_share=0.2, reject_share=0.45)
+        with tempfile.TemporaryDirectory() as folder:
+            soak = ShapedSoak("uploads", SHAPE_SEED, DURATION_S, Path(folder), CUT_CALLERS, habits)
+            asyncio.run(soak.run())
+            self.assertEqual([], soak.findings)
+            once = [result for result in soak.results if result.once]
+            self.assertGreater(sum(result.status == 200 for result in once), 50)
+
     def test_callers_that_leave_leave_nothing_open(self) -> None:
         """Guards against requests and memory that are held for callers which have gone."""
         with tempfile.TemporaryDirectory() as folder:
--- a/tools/faultsoak.py
+++ b/tools/faultsoak.py
@@ -79,9 +79,17 @@
         Share of the requests that must not be repeated.
     route_attempts : int
         Servers that may run one request.
+    target_module : str
+        Program that serves the targets.
+
+    Parameters
+    ----------
+    code : Path, optional
+        Root of the checkout whose gateways run, if it is not this one.
     """
 
     route_attempts = 4
+    target_module = "standins.livetarget"
 
     def __init__(
         self,
@@ -91,11 +99,13 @@
         folder: Path,
         callers: int = CALLER_COUNT,
         target_processes: int = 2,
+        code: Path | None = None,
     ) -> None:
         self._rng = random.Random(seed)
         self._seconds = seconds
         self._caller_count = callers
-        self.deployment = SoakDeployment(folder)
+        self._code = code
+        self.deployment = self.make_deployment(folder)
         self.deployment.allocate_ports(gateways, target_processes)
         self._launcher = Launcher(folder)
         self.results: list[CallResult] = []
@@ -149,6 +159,10 @@
                 await proxy.__aexit__(None, None, None)
         self.check_results()
 
+    def make_deployment(self, folder: Path) -> SoakDeployment:
+        """Return the deployment, without addresses."""
+        return SoakDeployment(folder)
+
     def make_caller(self, number: int) -> Caller:
         """Return a caller that looks up a gateway for each connection."""
         rng = random.Random(self._rng.random())
@@ -371,12 +385,12 @@
     def _start_targets(self, process: str) -> None:
         self._notices.record_fault(process)
         self._start(
-            process, "standins.livetarget", "--settings", self.deployment.write_targets(process)
+            process, self.target_module, "--settings", self.deployment.write_targets(process)
         )
 
     def _start_gateway(self, name: str) -> None:
         os.environ[SETTINGS_VARIABLE] = self.deployment.write_gateway(name)
-        self._start(name, "briarspur.platform")
+        self._launcher.start(name, "briarspur.platform", root=self._code)
 
     async def _control_store(self, changes: dict[str, Any]) -> None:
         port = self.deployment.store_port
